--- /dev/null
+++ b/Makefile
@@ -0,0 +1,65 @@
+# Thin front of the CMake build.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PYTHON ?= /usr/bin/python3
+SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v generated)
+
+.PHONY: all deps build generate check-generated format check-format lint \
+	unit functional check-model test test-sanitize demo clean
+
+all: build
+
+deps:
+	tools/install-deps.sh
+
+build:
+	cmake -S . -B $(BUILD) >/dev/null
+	cmake --build $(BUILD) -j $(JOBS) -- --no-print-directory
+
+generate:
+	$(PYTHON) gen/generate.py schema src/generated
+	clang-format -i src/generated/*.c src/generated/*.h
+
+# Fails where the committed code differs from what the schema gives.
+check-generated:
+	rm -rf $(BUILD)/generated
+	$(PYTHON) gen/generate.py schema $(BUILD)/generated
+	cp .clang-format $(BUILD)/
+	clang-format -i $(BUILD)/generated/*.c $(BUILD)/generated/*.h
+	diff -r $(BUILD)/generated src/generated
+
+format:
+	clang-format -i $(SOURCES)
+
+check-format:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: build
+	printf '%s\n' $(filter src/%.c,$(SOURCES)) | \
+		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+
+unit: build
+	ctest --test-dir $(BUILD) --output-on-failure -R '^unit/'
+
+functional: build
+	ctest --test-dir $(BUILD) --output-on-failure -R '^functional/'
+
+check-model:
+	model/check.sh
+
+# Everything that a change must pass.
+test: deps
+	$(MAKE) build check-generated check-format
+	$(MAKE) lint
+	$(MAKE) check-model
+	tools/run-tests.sh $(BUILD)
+
+test-sanitize: deps
+	tools/sanitize.sh
+
+demo: deps
+	$(MAKE) build
+	tools/demo.sh $(BUILD)
+
+clean:
+	rm -rf build build-*
--- /dev/null
+++ b/src/agent/main.c
@@ -0,0 +1,63 @@
+/// jt-agent: the agent of a VM.
+#include <apr_general.h>
+#include <apr_thread_proc.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "agent/agent.h"
+#include "shell/app.h"
+#include "shell/log.h"
+
+static const app_t app = {
+    .name = "jt-agent",
+    .doc = "Follows the platform's log and list of VMs for the processes of "
+           "one VM.",
+    .settings_desc = &agent_settings_desc};
+
+/// A call that stops the loop from the thread of signals.
+typedef struct {
+    mail_t mail;
+    agent_t *agent;
+} stop_t;
+
+static void
+run_stop(mail_t *mail)
+{
+    agent_t *agent = caa_container_of(mail, stop_t, mail)->agent;
+    agent_stop(agent);
+    loop_stop(agent->loop);
+}
+
+static void *APR_THREAD_FUNC
+run_loop(apr_thread_t *thread, void *owner)
+{
+    (void)thread;
+    loop_run(((agent_t *)owner)->loop);
+    return NULL;
+}
+
+int
+main(int argc, char **argv)
+{
+    apr_initialize();
+    arena_t *arena = arena_create();
+    agent_settings_t settings;
+    error_info_t err = {0};
+    app_start(&app, argc, argv, arena, &settings);
+    agent_t agent = {.settings = &settings, .loop = loop_create()};
+    if (!agent_start(&agent, &err)) {
+        fprintf(stderr, "%s: %s\n", app.name, err.text);
+        exit(kExitFailure);
+    }
+    apr_thread_t *thread = NULL;
+    apr_thread_create(&thread, NULL, run_loop, &agent, arena);
+    log_event("started", "dc=%u vm=%u address=%s port=%u", settings.here.dc,
+              settings.here.vm, settings.here.address, settings.port);
+    app_wait_for_stop();
+    stop_t stop = {.mail = {.run = run_stop}, .agent = &agent};
+    loop_post(agent.loop, &stop.mail);
+    apr_status_t status = APR_SUCCESS;
+    apr_thread_join(&status, thread);
+    log_event("stopped", "reason=signal");
+    return 0;
+}
--- /dev/null
+++ b/src/agent/peers.c
@@ -0,0 +1,78 @@
+#include "agent/peers.h"
+
+#include "codec/pack.h"
+#include "shell/log.h"
+
+static void
+on_open(conn_t *conn)
+{
+    agent_t *agent = conn->owner;
+    config_get_message_t get = {.request = 1};
+    conn_send(conn, kMessageHello, &agent->control.hello);
+    conn_send(conn, kMessageConfigGet, &get);
+}
+
+/// Takes a peer's document where it is newer, never an older one.
+static void
+take_config(agent_t *agent, const config_update_message_t *update)
+{
+    if (document_adopt(agent->document, update->offset, update->sections,
+                       update->sections_count)) {
+        log_event("peer_config", "offset=%lu", (unsigned long)update->offset);
+        agent_push_all(agent);
+    }
+}
+
+static void
+on_message(conn_t *conn, uint32_t type, bytes_t body)
+{
+    agent_t *agent = conn->owner;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    config_update_message_t config;
+    members_update_message_t members;
+    if (type == kMessageConfigUpdate &&
+        pack_read_message(body, &config_update_message_desc, arena, &config,
+                          &err)) {
+        take_config(agent, &config);
+    }
+    if (type == kMessageMembersUpdate &&
+        pack_read_message(body, &members_update_message_desc, arena, &members,
+                          &err)) {
+        // A list of our own, however old, is not replaced by hearsay.
+        if (agent->members->version == 0) {
+            agent_take_members(agent, members.vms, members.vms_count);
+        }
+        conn_close(conn);
+    }
+    arena_destroy(arena);
+}
+
+static void
+on_close(conn_t *conn)
+{
+    agent_t *agent = conn->owner;
+    agent->peer = NULL;
+}
+
+static const conn_ops_t peer_ops = {
+    .on_open = on_open, .on_message = on_message, .on_close = on_close};
+
+void
+peers_ask(agent_t *agent)
+{
+    const agent_settings_t *settings = agent->settings;
+    error_info_t err = {0};
+    if (agent->peer != NULL) {
+        // One that did not answer within a poll is given up.
+        conn_close(agent->peer);
+    }
+    if (settings->peers_count == 0) {
+        return;
+    }
+    const peer_settings_t *peer =
+        &settings->peers[agent->next_peer++ % settings->peers_count];
+    agent->peer =
+        conn_connect(agent->loop, settings->here.address, peer->address,
+                     peer->port, &peer_ops, agent, &err);
+}
--- /dev/null
+++ b/src/base/counters.c
@@ -0,0 +1,34 @@
+#include "base/counters.h"
+
+#include <stdatomic.h>
+
+enum { kStripeCount = 16, kLineBytes = 64 };
+
+typedef struct {
+    _Alignas(kLineBytes) _Atomic uint64_t values[kCounterCount];
+} stripe_t;
+
+static stripe_t stripes[kStripeCount];
+static _Atomic uint32_t next_stripe;
+static _Thread_local uint32_t own_stripe = UINT32_MAX;
+
+void
+counter_add(counter_t counter, uint64_t amount)
+{
+    if (own_stripe == UINT32_MAX) {
+        own_stripe = atomic_fetch_add(&next_stripe, 1) % kStripeCount;
+    }
+    atomic_fetch_add_explicit(&stripes[own_stripe].values[counter], amount,
+                              memory_order_relaxed);
+}
+
+uint64_t
+counter_read(counter_t counter)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < kStripeCount; i++) {
+        sum += atomic_load_explicit(&stripes[i].values[counter],
+                                    memory_order_relaxed);
+    }
+    return sum;
+}
--- /dev/null
+++ b/src/codec/json.c
@@ -0,0 +1,377 @@
+#include "codec/json.h"
+
+#include <apr_strings.h>
+#include <json-c/json.h>
+#include <string.h>
+
+enum { kNestingLimit = 32, kPathBytes = 128 };
+
+/// What a read carries along.
+typedef struct {
+    arena_t *arena;
+    error_kind_t kind;
+    error_info_t *err;
+    char path[kPathBytes]; ///< path of the value being read
+} reader_t;
+
+static bool read_record(reader_t *reader, json_object *object,
+                        const record_desc_t *desc, uint8_t *out);
+
+/// Adds a key to the path.
+///
+/// @return length of the path before, for path_leave
+static size_t
+path_enter_key(reader_t *reader, const char *key)
+{
+    size_t length = strlen(reader->path);
+    apr_snprintf(reader->path + length, sizeof reader->path - length, "%s%s",
+                 length > 0 ? "." : "", key);
+    return length;
+}
+
+/// Adds the place of a list's item to the path.
+///
+/// @return length of the path before, for path_leave
+static size_t
+path_enter_item(reader_t *reader, uint32_t place)
+{
+    size_t length = strlen(reader->path);
+    apr_snprintf(reader->path + length, sizeof reader->path - length, "[%u]",
+                 place);
+    return length;
+}
+
+static void
+path_leave(reader_t *reader, size_t length)
+{
+    reader->path[length] = '\0';
+}
+
+/// Says what was found and what is allowed.
+static bool
+refuse(reader_t *reader, json_object *found, const char *allowed)
+{
+    const char *text =
+        found == NULL
+            ? "null"
+            : json_object_to_json_string_ext(found, JSON_C_TO_STRING_PLAIN);
+    return error_set(
+        reader->err, reader->kind, "%s: found %.40s, allowed is %s",
+        reader->path[0] == '\0' ? "document" : reader->path, text, allowed);
+}
+
+static bool
+read_number(reader_t *reader, json_object *object, const field_desc_t *field,
+            uint64_t *out)
+{
+    char allowed[80];
+    apr_snprintf(allowed, sizeof allowed,
+                 "a whole number from %" APR_UINT64_T_FMT
+                 " to %" APR_UINT64_T_FMT,
+                 field->min, field->max);
+    if (!json_object_is_type(object, json_type_int)) {
+        return refuse(reader, object, allowed);
+    }
+    if (json_object_get_int64(object) < 0) {
+        return refuse(reader, object, allowed);
+    }
+    uint64_t number = json_object_get_uint64(object);
+    if (number < field->min || number > field->max) {
+        return refuse(reader, object, allowed);
+    }
+    *out = number;
+    return true;
+}
+
+static bool
+read_enum(reader_t *reader, json_object *object, const field_desc_t *field,
+          uint32_t *out)
+{
+    const enum_desc_t *desc = field->enumeration;
+    char allowed[160] = "one of";
+    for (uint32_t i = 0; i < desc->count; i++) {
+        if (json_object_is_type(object, json_type_string) &&
+            strcmp(json_object_get_string(object), desc->values[i]) == 0) {
+            *out = i;
+            return true;
+        }
+        size_t length = strlen(allowed);
+        apr_snprintf(allowed + length, sizeof allowed - length, " %s",
+                     desc->values[i]);
+    }
+    return refuse(reader, object, allowed);
+}
+
+static bool
+read_run(reader_t *reader, json_object *object, const field_desc_t *field,
+         bytes_t *out)
+{
+    char allowed[80];
+    apr_snprintf(allowed, sizeof allowed,
+                 "a string of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT
+                 " bytes",
+                 field->min, field->max);
+    if (!json_object_is_type(object, json_type_string)) {
+        return refuse(reader, object, allowed);
+    }
+    uint32_t size_bytes = (uint32_t)json_object_get_string_len(object);
+    const char *data = json_object_get_string(object);
+    bool has_nul = memchr(data, '\0', size_bytes) != NULL;
+    if (size_bytes < field->min ||
+        (field->max > 0 && size_bytes > field->max) ||
+        (has_nul && field->type == kFieldStr)) {
+        return refuse(reader, object, allowed);
+    }
+    out->data = (const uint8_t *)arena_copy(reader->arena, data, size_bytes);
+    out->size_bytes = size_bytes;
+    return true;
+}
+
+static bool
+read_value(reader_t *reader, json_object *object, const field_desc_t *field,
+           uint8_t *at)
+{
+    uint64_t number = 0;
+    bytes_t run = {0};
+    switch (field->type) {
+    case kFieldU16:
+        if (!read_number(reader, object, field, &number)) {
+            return false;
+        }
+        *(uint16_t *)at = (uint16_t)number;
+        return true;
+    case kFieldU32:
+        if (!read_number(reader, object, field, &number)) {
+            return false;
+        }
+        *(uint32_t *)at = (uint32_t)number;
+        return true;
+    case kFieldU64:
+        return read_number(reader, object, field, (uint64_t *)at);
+    case kFieldBool:
+        if (!json_object_is_type(object, json_type_boolean)) {
+            return refuse(reader, object, "true or false");
+        }
+        *(bool *)at = json_object_get_boolean(object);
+        return true;
+    case kFieldStr:
+        if (!read_run(reader, object, field, &run)) {
+            return false;
+        }
+        *(const char **)at = (const char *)run.data;
+        return true;
+    case kFieldBytes:
+        return read_run(reader, object, field, (bytes_t *)at);
+    case kFieldEnum:
+        return read_enum(reader, object, field, (uint32_t *)at);
+    case kFieldRecord:
+        return read_record(reader, object, field->record, at);
+    default:
+        return refuse(reader, object, "nothing");
+    }
+}
+
+static bool
+read_list(reader_t *reader, json_object *object, const field_desc_t *field,
+          uint8_t *record)
+{
+    char allowed[80];
+    apr_snprintf(allowed, sizeof allowed,
+                 "a list of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT
+                 " items",
+                 field->min, field->max);
+    if (!json_object_is_type(object, json_type_array)) {
+        return refuse(reader, object, allowed);
+    }
+    uint32_t count = (uint32_t)json_object_array_length(object);
+    if (count < field->min || (field->max > 0 && count > field->max)) {
+        return refuse(reader, object, allowed);
+    }
+    uint32_t item_bytes = field->record->size_bytes;
+    uint8_t *items = apr_palloc(reader->arena, (size_t)count * item_bytes + 1);
+    for (uint32_t i = 0; i < count; i++) {
+        size_t length = path_enter_item(reader, i);
+        if (!read_value(reader, json_object_array_get_idx(object, i), field,
+                        items + (size_t)i * item_bytes)) {
+            return false;
+        }
+        path_leave(reader, length);
+    }
+    *(uint8_t **)(record + field->offset_bytes) = items;
+    *(uint32_t *)(record + field->count_offset_bytes) = count;
+    return true;
+}
+
+static const field_desc_t *
+find_field(const record_desc_t *desc, const char *name)
+{
+    for (uint32_t i = 0; i < desc->field_count; i++) {
+        if (strcmp(desc->fields[i].name, name) == 0) {
+            return &desc->fields[i];
+        }
+    }
+    return NULL;
+}
+
+/// Refuses a key that the record does not have.
+static bool
+check_keys(reader_t *reader, json_object *object, const record_desc_t *desc)
+{
+    json_object_object_foreach(object, key, value)
+    {
+        (void)value;
+        if (find_field(desc, key) == NULL) {
+            path_enter_key(reader, key);
+            return error_set(reader->err, reader->kind,
+                             "%s: unknown key, allowed are the keys of %s",
+                             reader->path, desc->name);
+        }
+    }
+    return true;
+}
+
+static bool
+read_field(reader_t *reader, json_object *object, const field_desc_t *field,
+           uint8_t *out)
+{
+    json_object *value = NULL;
+    size_t length = path_enter_key(reader, field->name);
+    if (!json_object_object_get_ex(object, field->name, &value)) {
+        if (field->required) {
+            return error_set(reader->err, reader->kind,
+                             "%s: found nothing, a value is required",
+                             reader->path);
+        }
+        path_leave(reader, length);
+        return true;
+    }
+    bool is_read = field->is_list ? read_list(reader, value, field, out)
+                                  : read_value(reader, value, field,
+                                               out + field->offset_bytes);
+    if (is_read) {
+        path_leave(reader, length);
+    }
+    return is_read;
+}
+
+static bool
+read_record(reader_t *reader, json_object *object, const record_desc_t *desc,
+            uint8_t *out)
+{
+    record_set_defaults(desc, out);
+    if (!json_object_is_type(object, json_type_object)) {
+        return refuse(reader, object, "an object");
+    }
+    if (!check_keys(reader, object, desc)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < desc->field_count; i++) {
+        if (!read_field(reader, object, &desc->fields[i], out)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+json_read(bytes_t text, const record_desc_t *desc, error_kind_t kind,
+          arena_t *arena, void *out, error_info_t *err)
+{
+    json_tokener *tokener = json_tokener_new_ex(kNestingLimit);
+    json_tokener_set_flags(tokener, JSON_TOKENER_VALIDATE_UTF8);
+    json_object *object = json_tokener_parse_ex(
+        tokener, (const char *)text.data, (int)text.size_bytes);
+    enum json_tokener_error status = json_tokener_get_error(tokener);
+    bool is_read = false;
+    if (status != json_tokener_success) {
+        error_set(err, kind, "byte %zu: %s",
+                  json_tokener_get_parse_end(tokener),
+                  json_tokener_error_desc(status));
+    }
+    else {
+        reader_t reader = {.arena = arena, .kind = kind, .err = err};
+        is_read = read_record(&reader, object, desc, out);
+    }
+    json_object_put(object);
+    json_tokener_free(tokener);
+    return is_read;
+}
+
+static json_object *build_record(const record_desc_t *desc,
+                                 const uint8_t *record);
+
+static json_object *
+build_value(const field_desc_t *field, const uint8_t *at)
+{
+    switch (field->type) {
+    case kFieldU16:
+        return json_object_new_uint64(*(const uint16_t *)at);
+    case kFieldU32:
+        return json_object_new_uint64(*(const uint32_t *)at);
+    case kFieldU64:
+        return json_object_new_uint64(*(const uint64_t *)at);
+    case kFieldBool:
+        return json_object_new_boolean(*(const bool *)at);
+    case kFieldStr: {
+        const char *text = *(const char *const *)at;
+        return json_object_new_string(text == NULL ? "" : text);
+    }
+    case kFieldBytes: {
+        const bytes_t *run = (const bytes_t *)at;
+        return json_object_new_string_len((const char *)run->data,
+                                          (int)run->size_bytes);
+    }
+    case kFieldEnum: {
+        uint32_t value = *(const uint32_t *)at;
+        return json_object_new_string(value < field->enumeration->count
+                                          ? field->enumeration->values[value]
+                                          : "unknown");
+    }
+    case kFieldRecord:
+        return build_record(field->record, at);
+    default:
+        return NULL;
+    }
+}
+
+static json_object *
+build_record(const record_desc_t *desc, const uint8_t *record)
+{
+    json_object *object = json_object_new_object();
+    for (uint32_t i = 0; i < desc->field_count; i++) {
+        const field_desc_t *field = &desc->fields[i];
+        const uint8_t *at = record + field->offset_bytes;
+        json_object *value = NULL;
+        if (field->is_list) {
+            uint32_t count =
+                *(const uint32_t *)(record + field->count_offset_bytes);
+            const uint8_t *items = *(const uint8_t *const *)at;
+            value = json_object_new_array_ext((int)count + 1);
+            for (uint32_t j = 0; j < count; j++) {
+                json_object_array_add(
+                    value,
+                    build_value(field, items + (size_t)j *
+                                                   field->record->size_bytes));
+            }
+        }
+        else {
+            value = build_value(field, at);
+        }
+        json_object_object_add_ex(object, field->name, value,
+                                  JSON_C_OBJECT_ADD_KEY_IS_NEW |
+                                      JSON_C_OBJECT_ADD_CONSTANT_KEY);
+    }
+    return object;
+}
+
+const char *
+json_write(const record_desc_t *desc, const void *record, arena_t *arena)
+{
+    json_object *object = build_record(desc, record);
+    size_t length_bytes = 0;
+    const char *text = json_object_to_json_string_length(
+        object, JSON_C_TO_STRING_PLAIN, &length_bytes);
+    const char *copy = arena_copy(arena, text, length_bytes);
+    json_object_put(object);
+    return copy;
+}
--- /dev/null
+++ b/src/config/document.c
@@ -0,0 +1,157 @@
+#include "config/document.h"
+
+#include <apr_hash.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct document {
+    document_check_t check;
+    arena_t *arena;       ///< of the hash
+    apr_hash_t *sections; ///< name to section_entry_t
+    uint64_t next;
+};
+
+document_t *
+document_create(document_check_t check)
+{
+    document_t *document = calloc(1, sizeof *document);
+    document->check = check;
+    document->arena = arena_create();
+    document->sections = apr_hash_make(document->arena);
+    document->next = 1;
+    return document;
+}
+
+static void
+free_section(section_entry_t *section)
+{
+    free((char *)section->name);
+    free((char *)section->text);
+    free(section);
+}
+
+static void
+clear_sections(document_t *document)
+{
+    for (apr_hash_index_t *at = apr_hash_first(NULL, document->sections);
+         at != NULL; at = apr_hash_next(at)) {
+        void *section = NULL;
+        apr_hash_this(at, NULL, NULL, &section);
+        free_section(section);
+    }
+    apr_hash_clear(document->sections);
+}
+
+void
+document_destroy(document_t *document)
+{
+    clear_sections(document);
+    arena_destroy(document->arena);
+    free(document);
+}
+
+uint64_t
+document_next(const document_t *document)
+{
+    return document->next;
+}
+
+uint64_t
+document_offset(const document_t *document)
+{
+    return document->next - 1;
+}
+
+const section_entry_t *
+document_find(const document_t *document, const char *name)
+{
+    return apr_hash_get(document->sections, name, APR_HASH_KEY_STRING);
+}
+
+/// Gives a section a new text.
+static void
+set_section(document_t *document, const char *name, uint64_t offset,
+            const char *text)
+{
+    section_entry_t *section =
+        apr_hash_get(document->sections, name, APR_HASH_KEY_STRING);
+    if (section == NULL) {
+        section = calloc(1, sizeof *section);
+        section->name = strdup(name);
+        apr_hash_set(document->sections, section->name, APR_HASH_KEY_STRING,
+                     section);
+    }
+    char *copy = strdup(text);
+    free((char *)section->text);
+    section->text = copy;
+    section->offset = offset;
+}
+
+static document_verdict_t
+judge_edit(document_t *document, uint64_t offset, const log_record_t *record,
+           error_info_t *err)
+{
+    const section_entry_t *section = document_find(document, record->section);
+    uint64_t current = section == NULL ? 0 : section->offset;
+    if (record->base != current) {
+        return kVerdictBase;
+    }
+    if (record->text[0] != '\0' &&
+        !document->check(record->section, record->text, err)) {
+        return kVerdictInvalid;
+    }
+    set_section(document, record->section, offset, record->text);
+    return kVerdictAccepted;
+}
+
+document_verdict_t
+document_apply(document_t *document, uint64_t offset,
+               const log_record_t *record, error_info_t *err)
+{
+    if (offset < document->next) {
+        return kVerdictOld;
+    }
+    if (offset > document->next) {
+        return kVerdictGap;
+    }
+    document->next++;
+    if (record->section[0] == '\0') {
+        return kVerdictPassed;
+    }
+    return judge_edit(document, offset, record, err);
+}
+
+bool
+document_adopt(document_t *document, uint64_t offset,
+               const section_entry_t *sections, uint32_t count)
+{
+    if (offset < document->next) {
+        return false;
+    }
+    clear_sections(document);
+    for (uint32_t i = 0; i < count; i++) {
+        set_section(document, sections[i].name, sections[i].offset,
+                    sections[i].text);
+    }
+    document->next = offset + 1;
+    return true;
+}
+
+section_entry_t *
+document_list(const document_t *document, uint64_t after, arena_t *arena,
+              uint32_t *count)
+{
+    section_entry_t *list =
+        apr_palloc(arena, (apr_hash_count(document->sections) + 1) *
+                              sizeof(section_entry_t));
+    *count = 0;
+    for (apr_hash_index_t *at = apr_hash_first(arena, document->sections);
+         at != NULL; at = apr_hash_next(at)) {
+        void *section = NULL;
+        apr_hash_this(at, NULL, NULL, &section);
+        if (((section_entry_t *)section)->offset > after) {
+            list[(*count)++] = *(section_entry_t *)section;
+        }
+    }
+    return list;
+}
--- /dev/null
+++ b/src/dispatch/jobs.c
@@ -0,0 +1,371 @@
+#include "dispatch/jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "base/counters.h"
+#include "dispatch/answers.h"
+#include "dispatch/shard.h"
+#include "dispatch/tries.h"
+#include "limit/admission.h"
+#include "shell/clock.h"
+
+static void
+add_waiter(job_record_t *record, const reply_to_t *to)
+{
+    waiter_t *waiter = malloc(sizeof *waiter);
+    *waiter = (waiter_t){.next = record->waiters, .to = *to};
+    record->waiters = waiter;
+}
+
+static void
+answer_waiters(job_record_t *record)
+{
+    while (record->waiters != NULL) {
+        waiter_t *waiter = record->waiters;
+        record->waiters = waiter->next;
+        shard_answer(record->shard, &waiter->to, record->answer);
+        free(waiter);
+    }
+}
+
+/// Keeps a finished record until its time is over.
+static void
+hold(job_record_t *record)
+{
+    shard_t *shard = record->shard;
+    record->hold_until_ns =
+        clock_deadline_ns(shard->dispatch->settings->record_hold_ms);
+    record->next_held = NULL;
+    if (shard->held_last == NULL) {
+        shard->held_first = record;
+        loop_timer_set(shard->loop, &shard->hold_timer, record->hold_until_ns);
+    }
+    else {
+        shard->held_last->next_held = record;
+    }
+    shard->held_last = record;
+    atomic_fetch_add(&shard->held_count, 1);
+}
+
+void
+jobs_end_hold(loop_timer_t *timer)
+{
+    shard_t *shard = timer->owner;
+    int64_t now_ns = clock_now_ns();
+    while (shard->held_first != NULL &&
+           shard->held_first->hold_until_ns <= now_ns) {
+        job_record_t *record = shard->held_first;
+        if (record->backoff_count > 0) {
+            record->hold_until_ns = now_ns + kNsPerMs;
+            break;
+        }
+        shard->held_first = record->next_held;
+        mint_forget(shard->mint, record->sequence);
+        blob_drop(record->answer);
+        free(record);
+        atomic_fetch_sub(&shard->held_count, 1);
+    }
+    if (shard->held_first == NULL) {
+        shard->held_last = NULL;
+        return;
+    }
+    loop_timer_set(shard->loop, timer, shard->held_first->hold_until_ns);
+}
+
+/// Ends a job: one immutable answer, to all who wait and to all who ask
+/// later.
+static void
+finish(job_record_t *record, const answer_detail_t *detail)
+{
+    shard_t *shard = record->shard;
+    record->answer = answers_build(&record->job, record->results, detail);
+    loop_timer_clear(shard->loop, &record->deadline);
+    arena_destroy(record->arena);
+    record->arena = NULL;
+    record->job.tasks = NULL;
+    record->results = NULL;
+    record->tries = NULL;
+    record->parts = NULL;
+    atomic_fetch_sub(&shard->active_count, 1);
+    hold(record);
+    answer_waiters(record);
+}
+
+waiting_part_t *
+jobs_find_part(job_record_t *record, uint32_t task)
+{
+    const needs_t *needs = &record->document.tasks[task].needs;
+    for (waiting_part_t *part = record->parts; part != NULL;
+         part = part->next_of_job) {
+        if (memcmp(part->needs, needs, sizeof *needs) == 0) {
+            return part;
+        }
+    }
+    return NULL;
+}
+
+/// Takes every waiting task of a job out of the queue.
+static void
+drop_waiting(job_record_t *record)
+{
+    for (waiting_part_t *part = record->parts; part != NULL;
+         part = part->next_of_job) {
+        waiting_drop(record->shard->waiting, part);
+    }
+}
+
+void
+jobs_apply(job_record_t *record, const job_event_t *event)
+{
+    uint32_t acts = job_apply(&record->job, event);
+    if (acts & kJobActDropWaiting) {
+        drop_waiting(record);
+    }
+    if (acts & kJobActStopTries) {
+        tries_stop(record);
+    }
+    if (acts & kJobActRequeue) {
+        tries_requeue(record, event->task);
+    }
+    if (acts & kJobActFinish) {
+        bool is_complete = record->job.state == kJobStateComplete;
+        counter_add(is_complete ? kCounterJobsComplete : kCounterJobsFailed,
+                    1);
+        finish(record, &(answer_detail_t){0});
+    }
+}
+
+static void
+on_deadline(loop_timer_t *timer)
+{
+    jobs_apply(timer->owner, &(job_event_t){.type = kJobEventDeadline});
+}
+
+/// Sorts the tasks of a job into parts of equal needs.
+static void
+build_parts(job_record_t *record, int64_t now_ns)
+{
+    uint32_t task_count = record->document.tasks_count;
+    for (uint32_t task = 0; task < task_count; task++) {
+        waiting_part_t *part = jobs_find_part(record, task);
+        if (part == NULL) {
+            part = apr_palloc(record->arena, sizeof *part);
+            uint32_t *places =
+                apr_palloc(record->arena, task_count * sizeof(uint32_t));
+            waiting_part_init(part, &record->document.tasks[task].needs,
+                              record, now_ns, record->priority, places, 0);
+            part->next_of_job = record->parts;
+            record->parts = part;
+        }
+        part->tasks[part->task_count++] = task;
+    }
+}
+
+/// @return whether some target could run each task. Under RCU.
+static bool
+do_tasks_fit(const view_t *view, const job_document_t *document)
+{
+    const needs_t *last = NULL;
+    for (uint32_t i = 0; i < document->tasks_count; i++) {
+        const needs_t *needs = &document->tasks[i].needs;
+        if (last != NULL && memcmp(last, needs, sizeof *needs) == 0) {
+            continue;
+        }
+        if (!target_table_fits(view->targets, needs)) {
+            return false;
+        }
+        last = needs;
+    }
+    return true;
+}
+
+/// Decides whether a job is taken, and charges its team. Under RCU.
+static error_kind_t
+admit(job_record_t *record, const view_t *view, answer_detail_t *detail)
+{
+    shard_t *shard = record->shard;
+    const job_document_t *document = &record->document;
+    if (view->config_offset == 0) {
+        return kErrorKindNotReady;
+    }
+    int64_t now_ns = clock_now_ns();
+    team_t *team = view_find_team(view, document->team);
+    admission_query_t query = {
+        .is_team_known = team != NULL,
+        .do_tasks_fit = do_tasks_fit(view, document),
+        .task_count = document->tasks_count,
+        .waiting_count = waiting_count(shard->waiting),
+        .waiting_limit = shard->dispatch->settings->queue_limit,
+        .slot_count = target_table_slots(view->targets) /
+                          (view->entry_count * shard->dispatch->shard_count) +
+                      1,
+        .service_ns = shard->service_ns,
+        .left_ns = record->job.deadline_ns - now_ns};
+    error_kind_t kind = admission_decide(&query);
+    if (kind != kErrorKindOk) {
+        detail->retry_after_ms =
+            (uint32_t)(admission_backlog_ns(&query) / kNsPerMs) + 1;
+        return kind;
+    }
+    int64_t retry_at_ns = 0;
+    if (!team_charge(team, document->tasks_count, now_ns, &retry_at_ns)) {
+        detail->retry_after_ms =
+            (uint32_t)((retry_at_ns - now_ns) / kNsPerMs) + 1;
+        return kErrorKindQuota;
+    }
+    record->priority = atomic_load(&team->priority);
+    return kErrorKindOk;
+}
+
+/// Ends a job before any start. The refusal is its answer for good: a copy
+/// of the submission that comes later must not start it after a caller read
+/// "not run".
+static void
+refuse(job_record_t *record, error_kind_t kind, answer_detail_t *detail)
+{
+    counter_add(kCounterJobsRefused, 1);
+    job_t *job = &record->job;
+    job->state = kJobStateFailed;
+    job->kind = kind;
+    job->waiting_count = 0;
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        job->tasks[i] = (task_t){.state = kTaskStateNotRun, .kind = kind};
+    }
+    if (!error_answers[kind].retry) {
+        detail->retry_after_ms = 0;
+    }
+    finish(record, detail);
+}
+
+static job_record_t *
+create_record(shard_t *shard, job_request_t *request)
+{
+    job_record_t *record = calloc(1, sizeof *record);
+    uint32_t task_count = request->document.tasks_count;
+    record->shard = shard;
+    record->sequence = request->id.sequence;
+    record->arena = request->arena;
+    request->arena = NULL;
+    record->document = request->document;
+    memcpy(record->digest, request->digest, kDigestBytes);
+    job_id_format(&request->id, record->id_text);
+    record->results = apr_pcalloc(record->arena, task_count * sizeof(bytes_t));
+    record->tries = apr_pcalloc(record->arena, task_count * sizeof(try_t *));
+    job_init(&record->job,
+             apr_palloc(record->arena, task_count * sizeof(task_t)),
+             task_count, request->deadline_ns);
+    loop_timer_init(&record->deadline, on_deadline, record);
+    return record;
+}
+
+/// Starts the job of a fresh id.
+static void
+start_job(shard_t *shard, job_request_t *request)
+{
+    answer_detail_t detail = {0};
+    job_record_t *record = create_record(shard, request);
+    mint_submit(shard->mint, record->sequence, record);
+    add_waiter(record, &request->reply_to);
+    atomic_fetch_add(&shard->active_count, 1);
+    counter_add(kCounterJobsReceived, 1);
+    rcu_read_lock();
+    error_kind_t kind =
+        admit(record, rcu_dereference(shard->dispatch->view), &detail);
+    rcu_read_unlock();
+    if (kind != kErrorKindOk) {
+        refuse(record, kind, &detail);
+        return;
+    }
+    loop_timer_set(shard->loop, &record->deadline, record->job.deadline_ns);
+    build_parts(record, clock_now_ns());
+    for (waiting_part_t *part = record->parts; part != NULL;
+         part = part->next_of_job) {
+        waiting_put(shard->waiting, part);
+    }
+    tries_pump(shard);
+}
+
+/// Answers a submission under an id that was submitted before.
+static void
+join_job(job_record_t *record, const job_request_t *request)
+{
+    if (memcmp(record->digest, request->digest, kDigestBytes) != 0) {
+        shard_answer_kind(record->shard, &request->reply_to,
+                          kErrorKindConflict);
+        return;
+    }
+    counter_add(kCounterJobsJoined, 1);
+    if (record->answer != NULL) {
+        shard_answer(record->shard, &request->reply_to, record->answer);
+    }
+    else {
+        add_waiter(record, &request->reply_to);
+    }
+}
+
+/// The answer to each verdict that no job stands behind.
+static const error_kind_t verdict_kinds[] = {
+    [kMintFresh] = kErrorKindNotSubmitted,
+    [kMintForgotten] = kErrorKindForgotten,
+    [kMintExpired] = kErrorKindExpired,
+    [kMintUnknown] = kErrorKindNotMinted};
+
+void
+jobs_submit(shard_t *shard, job_request_t *request)
+{
+    void *job = NULL;
+    mint_verdict_t verdict =
+        mint_judge(shard->mint, &request->id, clock_now_ns(), &job);
+    if (verdict == kMintFresh) {
+        start_job(shard, request);
+    }
+    else if (verdict == kMintHeld) {
+        join_job(job, request);
+    }
+    else {
+        shard_answer_kind(shard, &request->reply_to, verdict_kinds[verdict]);
+    }
+    arena_destroy(request->arena);
+}
+
+void
+jobs_read(shard_t *shard, job_request_t *request)
+{
+    void *job = NULL;
+    mint_verdict_t verdict =
+        mint_judge(shard->mint, &request->id, clock_now_ns(), &job);
+    if (verdict != kMintHeld) {
+        shard_answer_kind(shard, &request->reply_to, verdict_kinds[verdict]);
+        return;
+    }
+    job_record_t *record = job;
+    if (record->answer != NULL) {
+        shard_answer(shard, &request->reply_to, record->answer);
+        return;
+    }
+    blob_t *state = answers_build_state(record->job.state);
+    shard_answer(shard, &request->reply_to, state);
+    blob_drop(state);
+}
+
+void
+jobs_cancel(shard_t *shard, job_request_t *request)
+{
+    void *job = NULL;
+    mint_verdict_t verdict =
+        mint_judge(shard->mint, &request->id, clock_now_ns(), &job);
+    if (verdict != kMintHeld) {
+        shard_answer_kind(shard, &request->reply_to, verdict_kinds[verdict]);
+        return;
+    }
+    job_record_t *record = job;
+    if (record->answer != NULL) {
+        shard_answer(shard, &request->reply_to, record->answer);
+        return;
+    }
+    counter_add(kCounterJobsCancelled, 1);
+    add_waiter(record, &request->reply_to);
+    jobs_apply(record, &(job_event_t){.type = kJobEventCancel});
+}
--- /dev/null
+++ b/src/dispatch/tries.c
@@ -0,0 +1,316 @@
+#include "dispatch/tries.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "base/counters.h"
+#include "route/route.h"
+#include "shell/clock.h"
+
+enum {
+    kUrlBytes = kTargetUrlBytes + kJobIdTextBytes + 32,
+    kHeaderBytes = 48,
+    kPumpAgainMs = 5,
+    kBackoffFirstMs = 2,
+    kBackoffMaxMs = 200,
+    kMeanWeight = 16
+};
+
+/// One request to a target.
+struct
+try {
+    job_record_t *record;
+    uint32_t task;
+    target_t *target;
+    uint32_t kind_bucket;
+    int64_t started_ns;
+    http_request_t *request;
+    char url[kUrlBytes];
+    char lease_header[kHeaderBytes];
+    char try_header[kHeaderBytes];
+    char job_header[kJobIdTextBytes + 16];
+};
+
+/// What a reply means for the job and for the target.
+typedef struct {
+    job_event_type_t event;
+    error_kind_t kind;
+    target_sign_t sign;
+} judgement_t;
+
+/// Judges a reply. "Not run" needs proof: nothing sent, or the target's own
+/// refusal before the start.
+static judgement_t
+judge(const http_reply_t *reply)
+{
+    if (reply->end == kHttpEndNotSent) {
+        return (judgement_t){kJobEventTryNotRun, kErrorKindTargetRefused,
+                             kSignAbsent};
+    }
+    if (reply->end == kHttpEndUnknown) {
+        return (judgement_t){kJobEventTryFailed, kErrorKindTargetLost,
+                             kSignFailed};
+    }
+    if (reply->status == 200) {
+        return (judgement_t){kJobEventTryDone, kErrorKindOk, kSignDone};
+    }
+    if (reply->status == 503 && reply->has_not_run) {
+        return (judgement_t){kJobEventTryNotRun, kErrorKindTargetRefused,
+                             reply->has_leaving ? kSignLeaving : kSignRefused};
+    }
+    return (judgement_t){kJobEventTryFailed, kErrorKindTargetFailed,
+                         kSignFailed};
+}
+
+static void
+count_judgement(job_event_type_t event)
+{
+    static const counter_t counters[kJobEventCount] = {
+        [kJobEventTryDone] = kCounterTriesDone,
+        [kJobEventTryNotRun] = kCounterTriesNotRun,
+        [kJobEventTryFailed] = kCounterTriesUnknown};
+    counter_add(counters[event], 1);
+}
+
+/// Gives the target back, with what was learned.
+static void
+release_target(const try_t *try, target_sign_t sign, int64_t now_ns)
+{
+    shard_t *shard = try->record->shard;
+    rcu_read_lock();
+    const view_t *view = rcu_dereference(shard->dispatch->view);
+    target_release(try->target, view->targets, sign, try->kind_bucket,
+                   now_ns - try->started_ns, now_ns);
+    rcu_read_unlock();
+    atomic_fetch_sub_explicit(&shard->started_count, 1, memory_order_relaxed);
+}
+
+static void
+learn_service(shard_t *shard, int64_t service_ns)
+{
+    shard->service_ns =
+        shard->service_ns == 0
+            ? service_ns
+            : shard->service_ns +
+                  (service_ns - shard->service_ns) / kMeanWeight;
+}
+
+static void
+on_reply(void *owner, const http_reply_t *reply)
+{
+    try_t *try = owner;
+    job_record_t *record = try->record;
+    shard_t *shard = record->shard;
+    int64_t now_ns = clock_now_ns();
+    judgement_t judgement = judge(reply);
+    count_judgement(judgement.event);
+    if (reply->has_leaving) {
+        target_note_leaving(try->target, now_ns);
+    }
+    if (reply->has_load) {
+        target_note_load(try->target, reply->load_busy);
+    }
+    if (judgement.event == kJobEventTryDone) {
+        learn_service(shard, now_ns - try->started_ns);
+        bytes_t *result = &record->results[try->task];
+        result->size_bytes = reply->body.size_bytes;
+        result->data = (uint8_t *)arena_copy(record->arena, reply->body.data,
+                                             reply->body.size_bytes);
+    }
+    release_target(try, judgement.sign, now_ns);
+    record->tries[try->task] = NULL;
+    job_event_t event = {.type = judgement.event,
+                         .task = try->task,
+                         .kind = judgement.kind,
+                         .may_retry = record->job.tasks[try->task].try_count <=
+                                      shard->dispatch->settings->retry_limit};
+    free(try);
+    jobs_apply(record, &event);
+    tries_pump(shard);
+}
+
+/// Fills in the request of a try.
+static void
+write_request(try_t *try, int64_t lease_ns)
+{
+    job_record_t *record = try->record;
+    apr_snprintf(try->url, sizeof try->url, "%s/v1/tasks/%s.%u",
+                 try->target->base_url, record->id_text, try->task);
+    apr_snprintf(try->lease_header, sizeof try->lease_header,
+                 "Jt-Lease-Ms: %u", clock_left_ms(lease_ns));
+    apr_snprintf(try->try_header, sizeof try->try_header, "Jt-Try: %u",
+                 record->job.tasks[try->task].try_count);
+    apr_snprintf(try->job_header, sizeof try->job_header, "Jt-Job: %s",
+                 record->id_text);
+}
+
+/// Sends a waiting task to a target whose slot was taken.
+static void
+start_try(job_record_t *record, uint32_t task, target_t *target,
+          uint32_t kind_bucket)
+{
+    shard_t *shard = record->shard;
+    const dispatch_settings_t *settings = shard->dispatch->settings;
+    const task_document_t *document = &record->document.tasks[task];
+    jobs_apply(record,
+               &(job_event_t){.type = kJobEventTaskStart, .task = task});
+    int64_t lease_ns = clock_deadline_ns(settings->lease_limit_ms);
+    if (record->job.deadline_ns < lease_ns) {
+        lease_ns = record->job.deadline_ns;
+    }
+    try_t *try = malloc(sizeof *try);
+    *try = (try_t){.record = record,
+                   .task = task,
+                   .target = target,
+                   .kind_bucket = kind_bucket,
+                   .started_ns = clock_now_ns()};
+    write_request(try, lease_ns);
+    const char *headers[] = {try->lease_header,
+                             try->try_header,
+                             try->job_header,
+                             "Content-Type: application/octet-stream",
+                             "Expect:",
+                             "Accept:",
+                             NULL};
+    http_spec_t spec = {.method = "POST",
+                        .url = try->url,
+                        .headers = headers,
+                        .body = document->payload,
+                        .deadline_ns = lease_ns,
+                        .connect_limit_ms = settings->connect_limit_ms,
+                        .idle_trust_ms = settings->idle_trust_ms,
+                        .on_done = on_reply,
+                        .owner = try};
+    counter_add(kCounterTriesStarted, 1);
+    atomic_fetch_add_explicit(&shard->started_count, 1, memory_order_relaxed);
+    record->tries[task] = try;
+    try->request = http_client_start(shard->http, &spec);
+}
+
+/// Starts tasks of one class as long as a slot is free. Under RCU.
+static void
+pump_class(shard_t *shard, waiting_class_t *group, const view_t *view,
+           int64_t now_ns)
+{
+    waiting_part_t *part;
+    while ((part = waiting_first(group)) != NULL) {
+        job_record_t *record = part->job;
+        uint32_t task = part->tasks[part->first];
+        route_query_t query = {.needs = part->needs,
+                               .kind_bucket = target_kind_bucket(
+                                   record->document.tasks[task].kind),
+                               .now_ns = now_ns};
+        target_t *target = route_reserve(shard->dispatch->settings->routing,
+                                         view->targets, &query, &shard->rng);
+        if (target == NULL) {
+            return;
+        }
+        waiting_take(shard->waiting, part);
+        start_try(record, task, target, query.kind_bucket);
+    }
+}
+
+void
+tries_pump(shard_t *shard)
+{
+    if (waiting_count(shard->waiting) == 0) {
+        return;
+    }
+    int64_t now_ns = clock_now_ns();
+    rcu_read_lock();
+    const view_t *view = rcu_dereference(shard->dispatch->view);
+    for (waiting_class_t *group = waiting_first_class(shard->waiting);
+         group != NULL; group = waiting_next_class(group)) {
+        pump_class(shard, group, view, now_ns);
+    }
+    rcu_read_unlock();
+    waiting_sweep(shard->waiting);
+    uint32_t left_count = waiting_count(shard->waiting);
+    atomic_store(&shard->waiting_count, left_count);
+    if (left_count > 0) {
+        loop_timer_set(shard->loop, &shard->pump_timer,
+                       now_ns + (int64_t)kPumpAgainMs * kNsPerMs);
+    }
+    else {
+        loop_timer_clear(shard->loop, &shard->pump_timer);
+    }
+}
+
+void
+tries_pump_again(loop_timer_t *timer)
+{
+    tries_pump(timer->owner);
+}
+
+void
+tries_stop(job_record_t *record)
+{
+    shard_t *shard = record->shard;
+    int64_t now_ns = clock_now_ns();
+    for (uint32_t i = 0; i < record->job.task_count; i++) {
+        try_t *try = record->tries[i];
+        if (try == NULL) {
+            continue;
+        }
+        http_client_abort(shard->http, try->request);
+        release_target(try, kSignNone, now_ns);
+        record->tries[i] = NULL;
+        free(try);
+    }
+}
+
+/// A task that waits for the time of its next try.
+typedef struct {
+    loop_timer_t timer;
+    job_record_t *record;
+    uint32_t task;
+} backoff_t;
+
+static void
+end_backoff(loop_timer_t *timer)
+{
+    backoff_t *backoff = timer->owner;
+    job_record_t *record = backoff->record;
+    record->backoff_count--;
+    if (!job_is_ended(&record->job) &&
+        record->job.tasks[backoff->task].state == kTaskStateWaiting) {
+        waiting_put_task(record->shard->waiting,
+                         jobs_find_part(record, backoff->task), backoff->task);
+        tries_pump(record->shard);
+    }
+    free(backoff);
+}
+
+/// @return pause before a try, doubled each time, with jitter; 0 before the
+/// second
+static int64_t
+pause_ns(shard_t *shard, uint32_t try_count)
+{
+    if (try_count <= 1) {
+        return 0;
+    }
+    uint32_t doublings = try_count - 2 < 10 ? try_count - 2 : 10;
+    uint32_t top_ms = (uint32_t)kBackoffFirstMs << doublings;
+    if (top_ms > kBackoffMaxMs) {
+        top_ms = kBackoffMaxMs;
+    }
+    return (int64_t)(top_ms / 2 + rng_below(&shard->rng, top_ms)) * kNsPerMs;
+}
+
+void
+tries_requeue(job_record_t *record, uint32_t task)
+{
+    shard_t *shard = record->shard;
+    int64_t wait_ns = pause_ns(shard, record->job.tasks[task].try_count);
+    if (wait_ns == 0) {
+        waiting_put_task(shard->waiting, jobs_find_part(record, task), task);
+        return;
+    }
+    backoff_t *backoff = malloc(sizeof *backoff);
+    *backoff = (backoff_t){.record = record, .task = task};
+    loop_timer_init(&backoff->timer, end_backoff, backoff);
+    record->backoff_count++;
+    loop_timer_set(shard->loop, &backoff->timer, clock_now_ns() + wait_ns);
+}
--- /dev/null
+++ b/src/dispatch/view.c
@@ -0,0 +1,203 @@
+#include "dispatch/view.h"
+
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "codec/json.h"
+#include "shell/log.h"
+
+view_t *
+view_create_empty(void)
+{
+    arena_t *arena = arena_create();
+    view_t *view = apr_pcalloc(arena, sizeof *view);
+    view->arena = arena;
+    view->teams = apr_hash_make(arena);
+    view->members = members_create(0, NULL, 0);
+    view->targets = target_table_build(NULL, NULL, 0, 0, 0, 0);
+    view->entry_count = 1;
+    return view;
+}
+
+team_t *
+view_find_team(const view_t *view, const char *name)
+{
+    return apr_hash_get(view->teams, name, APR_HASH_KEY_STRING);
+}
+
+static void
+add_team(view_t *view, team_t *team)
+{
+    apr_hash_set(view->teams, team->name, APR_HASH_KEY_STRING, team);
+}
+
+/// Copies the teams of a view into its successor.
+static void
+copy_teams(view_t *next, const view_t *old)
+{
+    for (apr_hash_index_t *at = apr_hash_first(next->arena, old->teams);
+         at != NULL; at = apr_hash_next(at)) {
+        void *team = NULL;
+        apr_hash_this(at, NULL, NULL, &team);
+        team_hold(team);
+        add_team(next, team);
+    }
+}
+
+/// Starts the successor of a view.
+static view_t *
+create_next(const view_t *old)
+{
+    arena_t *arena = arena_create();
+    view_t *next = apr_pcalloc(arena, sizeof *next);
+    next->arena = arena;
+    next->teams = apr_hash_make(arena);
+    next->config_offset = old->config_offset;
+    next->entry_count = old->entry_count;
+    copy_teams(next, old);
+    return next;
+}
+
+/// Frees a view. What its successor took over was held or moved.
+static void
+free_view(view_t *view)
+{
+    for (apr_hash_index_t *at = apr_hash_first(view->arena, view->teams);
+         at != NULL; at = apr_hash_next(at)) {
+        void *team = NULL;
+        apr_hash_this(at, NULL, NULL, &team);
+        team_drop(team);
+    }
+    members_free(view->members);
+    if (view->targets != NULL) {
+        target_table_free(view->targets);
+    }
+    arena_destroy(view->arena);
+}
+
+static void
+publish(view_t **view, view_t *next)
+{
+    view_t *old = rcu_xchg_pointer(view, next);
+    synchronize_rcu();
+    if (old->targets == next->targets) {
+        old->targets = NULL;
+    }
+    if (old->members == next->members) {
+        old->members = NULL;
+    }
+    free_view(old);
+}
+
+/// Gives a team its section, or takes the team away.
+static void
+apply_section(view_t *next, const section_entry_t *entry)
+{
+    team_t *team = view_find_team(next, entry->name);
+    section_document_t section;
+    error_info_t err = {0};
+    if (entry->text[0] == '\0') {
+        if (team != NULL) {
+            apr_hash_set(next->teams, team->name, APR_HASH_KEY_STRING, NULL);
+            team_drop(team);
+        }
+        return;
+    }
+    bytes_t text = {.data = (const uint8_t *)entry->text,
+                    .size_bytes = (uint32_t)strlen(entry->text)};
+    if (!json_read(text, &section_document_desc, kErrorKindConfigInvalid,
+                   next->arena, &section, &err)) {
+        log_event("bad_section", "section=%s reason=\"%s\"", entry->name,
+                  err.text);
+        return;
+    }
+    if (team == NULL) {
+        team = team_create(entry->name);
+        add_team(next, team);
+    }
+    team_set(team, &section, members_count_entries(next->members));
+}
+
+/// Takes all teams away, for an update that brings every section.
+static void
+clear_teams(view_t *next)
+{
+    for (apr_hash_index_t *at = apr_hash_first(next->arena, next->teams);
+         at != NULL; at = apr_hash_next(at)) {
+        void *team = NULL;
+        apr_hash_this(at, NULL, NULL, &team);
+        team_drop(team);
+    }
+    apr_hash_clear(next->teams);
+}
+
+void
+view_apply_config(view_t **view, const dispatch_settings_t *settings,
+                  const config_update_message_t *update)
+{
+    (void)settings;
+    view_t *old = *view;
+    view_t *next = create_next(old);
+    next->targets = old->targets;
+    next->members = old->members;
+    next->config_offset = update->offset;
+    if (update->full) {
+        clear_teams(next);
+    }
+    for (uint32_t i = 0; i < update->sections_count; i++) {
+        apply_section(next, &update->sections[i]);
+    }
+    publish(view, next);
+    log_event("config_in_force", "offset=%lu teams=%u",
+              (unsigned long)update->offset, apr_hash_count(next->teams));
+}
+
+/// @return live entry VMs of one data centre, at least 1
+static uint32_t
+count_own_entries(const members_t *members, uint16_t dc)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < members->vm_count; i++) {
+        const vm_entry_t *vm = &members->vms[i];
+        if (vm->role == kVmRoleEntry && vm->dc == dc &&
+            vm->state == kVmStateLive) {
+            count++;
+        }
+    }
+    return count == 0 ? 1 : count;
+}
+
+/// Splits the quotas anew when the number of entry VMs changed.
+static void
+rescale_teams(view_t *next, uint32_t old_count, uint32_t new_count)
+{
+    if (old_count == new_count) {
+        return;
+    }
+    for (apr_hash_index_t *at = apr_hash_first(next->arena, next->teams);
+         at != NULL; at = apr_hash_next(at)) {
+        void *team = NULL;
+        apr_hash_this(at, NULL, NULL, &team);
+        team_rescale(team, new_count);
+    }
+}
+
+void
+view_apply_members(view_t **view, const dispatch_settings_t *settings,
+                   const members_update_message_t *update)
+{
+    view_t *old = *view;
+    view_t *next = create_next(old);
+    next->members =
+        members_create(update->version, update->vms, update->vms_count);
+    next->targets = target_table_build(
+        old->targets, update->vms, update->vms_count, settings->here.dc,
+        settings->here.vm, settings->eject_cap_percent);
+    next->entry_count = count_own_entries(next->members, settings->here.dc);
+    rescale_teams(next, members_count_entries(old->members),
+                  members_count_entries(next->members));
+    publish(view, next);
+    log_event("members_in_force", "vms=%u targets=%u entries=%u",
+              next->members->vm_count, next->targets->count,
+              next->entry_count);
+}
--- /dev/null
+++ b/src/front/front.h
@@ -0,0 +1,31 @@
+/// The front: HTTP towards callers. It holds no state of a job.
+#ifndef JT_FRONT_FRONT_H
+#define JT_FRONT_FRONT_H
+
+#include <microhttpd.h>
+#include <stdatomic.h>
+
+#include "front/relay.h"
+#include "net/listener.h"
+#include "shell/agent_link.h"
+#include "shell/control.h"
+
+typedef struct {
+    const front_settings_t *settings;
+    control_t control;
+    members_t *members; ///< read under RCU
+    relay_t *relays;
+    uint32_t relay_count;
+    _Atomic uint32_t next_relay;
+    struct MHD_Daemon *daemon;
+
+    _Atomic bool is_draining;
+    _Atomic uint32_t active_count; ///< requests that are being served
+    _Atomic int64_t last_request_ns;
+
+    loop_t *loop; ///< of the control thread
+    listener_t *listener;
+    agent_link_t agent;
+} front_t;
+
+#endif
--- /dev/null
+++ b/src/front/id_pool.c
@@ -0,0 +1,57 @@
+#include "front/id_pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { kBatchFirst = 16, kBatchMax = 1024 };
+
+void
+id_pool_clear(id_pool_t *pool)
+{
+    pool->count = 0;
+}
+
+void
+id_pool_fill(id_pool_t *pool, const job_id_t *ids, uint32_t count,
+             int64_t now_ns, int64_t left_ns)
+{
+    if (pool->ids == NULL) {
+        pool->ids = calloc(kPoolCapacity, sizeof(job_id_t));
+    }
+    pool->count = count < kPoolCapacity ? count : kPoolCapacity;
+    memcpy(pool->ids, ids, pool->count * sizeof(job_id_t));
+    pool->start_by_ns = now_ns + left_ns;
+    pool->use_by_ns = now_ns + left_ns / 2;
+}
+
+bool
+id_pool_take(id_pool_t *pool, uint32_t count, int64_t now_ns, job_id_t *out)
+{
+    if (pool->count < count || now_ns >= pool->use_by_ns) {
+        return false;
+    }
+    pool->count -= count;
+    memcpy(out, pool->ids + pool->count, count * sizeof(job_id_t));
+    return true;
+}
+
+bool
+id_pool_is_low(const id_pool_t *pool, int64_t now_ns)
+{
+    return pool->count < pool->batch / 4 || now_ns >= pool->use_by_ns;
+}
+
+uint32_t
+id_pool_next_batch(id_pool_t *pool, uint32_t need, int64_t now_ns)
+{
+    if (pool->batch == 0) {
+        pool->batch = kBatchFirst;
+    }
+    else if (now_ns < pool->use_by_ns && pool->batch < kBatchMax) {
+        pool->batch *= 2;
+    }
+    else if (now_ns >= pool->use_by_ns && pool->batch > kBatchFirst) {
+        pool->batch /= 2;
+    }
+    return need > pool->batch ? need : pool->batch;
+}
--- /dev/null
+++ b/src/front/main.c
@@ -0,0 +1,178 @@
+/// jt-front: HTTP towards callers.
+#include <apr_general.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <urcu-bp.h>
+
+#include "front/front.h"
+#include "front/http.h"
+#include "shell/app.h"
+#include "shell/log.h"
+
+static const app_t app = {
+    .name = "jt-front",
+    .doc = "Takes jobs from callers over HTTP and passes them to dispatchers.",
+    .settings_desc = &front_settings_desc};
+
+static void
+on_config(void *owner, const config_update_message_t *update)
+{
+    (void)owner;
+    (void)update;
+}
+
+static void
+on_members(void *owner, const members_update_message_t *update)
+{
+    front_t *front = owner;
+    members_t *next =
+        members_create(update->version, update->vms, update->vms_count);
+    members_t *old = rcu_xchg_pointer(&front->members, next);
+    synchronize_rcu();
+    members_free(old);
+    log_event("members_in_force", "vms=%u", update->vms_count);
+}
+
+static const agent_link_ops_t agent_ops = {.on_config = on_config,
+                                           .on_members = on_members};
+
+static void
+describe(void *owner, json_object *state)
+{
+    front_t *front = owner;
+    json_object_object_add(
+        state, "active_requests",
+        json_object_new_uint64(atomic_load(&front->active_count)));
+    json_object_object_add(
+        state, "draining",
+        json_object_new_boolean(atomic_load(&front->is_draining)));
+    rcu_read_lock();
+    json_object_object_add(
+        state, "members",
+        json_object_new_uint64(rcu_dereference(front->members)->vm_count));
+    rcu_read_unlock();
+}
+
+static void
+on_control_message(conn_t *conn, uint32_t type, bytes_t body)
+{
+    front_t *front = conn->owner;
+    control_answer(&front->control, conn, type, body);
+}
+
+static void
+on_control_close(conn_t *conn)
+{
+    (void)conn;
+}
+
+static const conn_ops_t control_ops = {.on_message = on_control_message,
+                                       .on_close = on_control_close};
+
+static void
+on_accept(void *owner, apr_socket_t *socket, arena_t *arena)
+{
+    front_t *front = owner;
+    conn_adopt(front->loop, socket, arena, &control_ops, front);
+}
+
+static void
+init_front(front_t *front, const front_settings_t *settings)
+{
+    front->settings = settings;
+    front->control = (control_t){.hello = {.role = kRoleFront,
+                                           .dc = settings->here.dc,
+                                           .vm = settings->here.vm,
+                                           .nonce = app_random()},
+                                 .describe = describe,
+                                 .owner = front};
+    front->members = members_create(0, NULL, 0);
+    front->loop = loop_create();
+    front->relay_count = settings->link_threads;
+    front->relays = calloc(front->relay_count, sizeof(relay_t));
+    for (uint32_t i = 0; i < front->relay_count; i++) {
+        relay_init(&front->relays[i], settings, &front->members,
+                   &front->control.hello);
+    }
+    front->agent = (agent_link_t){.loop = front->loop,
+                                  .address = settings->here.address,
+                                  .port = settings->agent_port,
+                                  .hello = front->control.hello,
+                                  .ops = &agent_ops,
+                                  .owner = front};
+}
+
+/// Ends the control loop.
+typedef struct {
+    mail_t mail;
+    front_t *front;
+} stop_t;
+
+static void
+run_stop(mail_t *mail)
+{
+    front_t *front = caa_container_of(mail, stop_t, mail)->front;
+    agent_link_stop(&front->agent);
+    listener_close(front->listener);
+    loop_stop(front->loop);
+}
+
+static void *APR_THREAD_FUNC
+run_control(apr_thread_t *thread, void *owner)
+{
+    (void)thread;
+    loop_run(((front_t *)owner)->loop);
+    return NULL;
+}
+
+static void
+stop_threads(front_t *front, apr_thread_t *control)
+{
+    apr_status_t status = APR_SUCCESS;
+    MHD_stop_daemon(front->daemon);
+    for (uint32_t i = 0; i < front->relay_count; i++) {
+        relay_stop(&front->relays[i]);
+        apr_thread_join(&status, front->relays[i].thread);
+    }
+    stop_t stop = {.mail = {.run = run_stop}, .front = front};
+    loop_post(front->loop, &stop.mail);
+    apr_thread_join(&status, control);
+}
+
+static void
+serve(front_t *front, arena_t *arena)
+{
+    apr_thread_t *control = NULL;
+    for (uint32_t i = 0; i < front->relay_count; i++) {
+        relay_run(&front->relays[i]);
+    }
+    agent_link_start(&front->agent);
+    apr_thread_create(&control, NULL, run_control, front, arena);
+    app_wait_for_stop();
+    http_stop(front);
+    stop_threads(front, control);
+}
+
+int
+main(int argc, char **argv)
+{
+    apr_initialize();
+    arena_t *arena = arena_create();
+    front_settings_t settings;
+    error_info_t err = {0};
+    app_start(&app, argc, argv, arena, &settings);
+    front_t front = {0};
+    init_front(&front, &settings);
+    front.listener =
+        listener_open(front.loop, settings.here.address, settings.control_port,
+                      on_accept, &front, &err);
+    if (front.listener == NULL || !http_start(&front, &err)) {
+        fprintf(stderr, "%s: %s\n", app.name, err.text);
+        exit(kExitFailure);
+    }
+    log_event("started", "dc=%u vm=%u address=%s port=%u", settings.here.dc,
+              settings.here.vm, settings.here.address, settings.http_port);
+    serve(&front, arena);
+    log_event("stopped", "reason=signal");
+    return 0;
+}
--- /dev/null
+++ b/src/net/conn.c
@@ -0,0 +1,318 @@
+#include "net/conn.h"
+
+#include <apr_portable.h>
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/counters.h"
+#include "codec/pack.h"
+#include "shell/clock.h"
+
+enum {
+    kHeaderBytes = 4,
+    kFirstBufferBytes = 16 * 1024,
+    kSilenceLimitMs = 10000, ///< of a connection with bytes unacknowledged
+};
+
+static void
+reserve(uint8_t **buffer, uint32_t *capacity_bytes, uint32_t need_bytes)
+{
+    if (need_bytes <= *capacity_bytes) {
+        return;
+    }
+    uint32_t grown_bytes =
+        *capacity_bytes == 0 ? kFirstBufferBytes : *capacity_bytes;
+    while (grown_bytes < need_bytes) {
+        grown_bytes *= 2;
+    }
+    *buffer = realloc(*buffer, grown_bytes);
+    if (*buffer == NULL) {
+        abort();
+    }
+    *capacity_bytes = grown_bytes;
+}
+
+static void
+free_conn(void *memory)
+{
+    conn_t *conn = memory;
+    free(conn->in);
+    free(conn->out);
+    arena_destroy(conn->arena);
+    free(conn);
+}
+
+void
+conn_close(conn_t *conn)
+{
+    if (conn->is_closed) {
+        return;
+    }
+    conn->is_closed = true;
+    loop_watch(conn->loop, &conn->watch, conn->socket, 0);
+    apr_socket_close(conn->socket);
+    conn->ops->on_close(conn);
+    loop_free_later(conn->loop, conn, free_conn);
+}
+
+static void
+update_interest(conn_t *conn)
+{
+    bool wants_write =
+        !conn->is_open || conn->out_sent_bytes < conn->out_bytes;
+    loop_watch(conn->loop, &conn->watch, conn->socket,
+               kReadyRead | (wants_write ? kReadyWrite : 0));
+}
+
+void
+conn_flush(conn_t *conn)
+{
+    if (conn->is_closed || !conn->is_open) {
+        return;
+    }
+    while (conn->out_sent_bytes < conn->out_bytes) {
+        apr_size_t size_bytes = conn->out_bytes - conn->out_sent_bytes;
+        apr_status_t status = apr_socket_send(
+            conn->socket, (char *)conn->out + conn->out_sent_bytes,
+            &size_bytes);
+        conn->out_sent_bytes += (uint32_t)size_bytes;
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            break;
+        }
+        if (status != APR_SUCCESS) {
+            conn_close(conn);
+            return;
+        }
+    }
+    if (conn->out_sent_bytes == conn->out_bytes) {
+        conn->out_bytes = 0;
+        conn->out_sent_bytes = 0;
+    }
+    update_interest(conn);
+}
+
+static void
+flush_at_round_end(round_end_t *end)
+{
+    conn_flush(caa_container_of(end, conn_t, flush));
+}
+
+/// Hands on every whole frame in the buffer.
+static void
+take_frames(conn_t *conn)
+{
+    uint32_t at = 0;
+    while (!conn->is_closed && conn->in_bytes - at >= kHeaderBytes) {
+        uint32_t length_bytes;
+        memcpy(&length_bytes, conn->in + at, kHeaderBytes);
+        length_bytes = ntohl(length_bytes);
+        if (length_bytes > kFrameLimitBytes) {
+            conn_close(conn);
+            return;
+        }
+        if (conn->in_bytes - at - kHeaderBytes < length_bytes) {
+            break;
+        }
+        bytes_t body = {.data = conn->in + at + kHeaderBytes,
+                        .size_bytes = length_bytes};
+        counter_add(kCounterFramesIn, 1);
+        conn->ops->on_message(conn, pack_peek_type(body), body);
+        at += kHeaderBytes + length_bytes;
+    }
+    if (at > 0) {
+        memmove(conn->in, conn->in + at, conn->in_bytes - at);
+        conn->in_bytes -= at;
+    }
+}
+
+static void
+read_ready(conn_t *conn)
+{
+    for (;;) {
+        reserve(&conn->in, &conn->in_capacity_bytes,
+                conn->in_bytes + kFirstBufferBytes);
+        apr_size_t room_bytes = conn->in_capacity_bytes - conn->in_bytes;
+        apr_size_t size_bytes = room_bytes;
+        apr_status_t status = apr_socket_recv(
+            conn->socket, (char *)conn->in + conn->in_bytes, &size_bytes);
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            return;
+        }
+        if (status != APR_SUCCESS || size_bytes == 0) {
+            conn_close(conn);
+            return;
+        }
+        conn->in_bytes += (uint32_t)size_bytes;
+        conn->heard_ns = clock_now_ns();
+        counter_add(kCounterBytesIn, size_bytes);
+        take_frames(conn);
+        if (conn->is_closed || size_bytes < room_bytes) {
+            return;
+        }
+    }
+}
+
+/// Ends the set-up of a connection that we opened.
+static void
+finish_connect(conn_t *conn)
+{
+    apr_os_sock_t fd;
+    int32_t problem = 0;
+    socklen_t size_bytes = sizeof problem;
+    apr_os_sock_get(&fd, conn->socket);
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &problem, &size_bytes);
+    if (problem != 0) {
+        conn_close(conn);
+        return;
+    }
+    conn->is_open = true;
+    conn->heard_ns = clock_now_ns();
+    counter_add(kCounterLinksOpened, 1);
+    if (conn->ops->on_open != NULL) {
+        conn->ops->on_open(conn);
+    }
+    conn_flush(conn);
+}
+
+static void
+on_ready(watch_t *watch, uint32_t ready)
+{
+    conn_t *conn = watch->owner;
+    if (!conn->is_open) {
+        if (ready & (kReadyWrite | kReadyError)) {
+            finish_connect(conn);
+        }
+        return;
+    }
+    if (ready & (kReadyRead | kReadyError)) {
+        read_ready(conn);
+    }
+    if (!conn->is_closed && (ready & kReadyWrite)) {
+        conn_flush(conn);
+    }
+}
+
+/// Sets the options of a socket: no delay, keep-alive, an end to silence.
+static void
+set_options(apr_socket_t *socket)
+{
+    apr_os_sock_t fd;
+    int32_t limit_ms = kSilenceLimitMs;
+    apr_socket_timeout_set(socket, 0);
+    apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+    apr_socket_opt_set(socket, APR_SO_KEEPALIVE, 1);
+    apr_os_sock_get(&fd, socket);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+}
+
+static conn_t *
+create_conn(loop_t *loop, apr_socket_t *socket, arena_t *arena,
+            const conn_ops_t *ops, void *owner)
+{
+    conn_t *conn = calloc(1, sizeof *conn);
+    *conn = (conn_t){.loop = loop,
+                     .ops = ops,
+                     .owner = owner,
+                     .arena = arena,
+                     .socket = socket,
+                     .watch = {.on_ready = on_ready, .owner = conn},
+                     .flush = {.run = flush_at_round_end},
+                     .heard_ns = clock_now_ns()};
+    set_options(socket);
+    return conn;
+}
+
+conn_t *
+conn_adopt(loop_t *loop, apr_socket_t *socket, arena_t *arena,
+           const conn_ops_t *ops, void *owner)
+{
+    conn_t *conn = create_conn(loop, socket, arena, ops, owner);
+    conn->is_open = true;
+    update_interest(conn);
+    return conn;
+}
+
+/// Opens a socket and binds it to the local address.
+static apr_status_t
+open_socket(apr_socket_t **socket, const char *source, arena_t *arena)
+{
+    apr_status_t status =
+        apr_socket_create(socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, arena);
+    if (status != APR_SUCCESS || source == NULL) {
+        return status;
+    }
+    apr_sockaddr_t *local = NULL;
+    status = apr_sockaddr_info_get(&local, source, APR_INET, 0, 0, arena);
+    if (status != APR_SUCCESS) {
+        return status;
+    }
+    apr_os_sock_t fd;
+    int32_t is_late = 1;
+    apr_os_sock_get(&fd, *socket);
+    setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &is_late,
+               sizeof is_late);
+    return apr_socket_bind(*socket, local);
+}
+
+conn_t *
+conn_connect(loop_t *loop, const char *source, const char *address,
+             uint16_t port, const conn_ops_t *ops, void *owner,
+             error_info_t *err)
+{
+    arena_t *arena = arena_create();
+    apr_sockaddr_t *remote = NULL;
+    apr_socket_t *socket = NULL;
+    apr_status_t status =
+        apr_sockaddr_info_get(&remote, address, APR_INET, port, 0, arena);
+    if (status == APR_SUCCESS) {
+        status = open_socket(&socket, source, arena);
+    }
+    if (status != APR_SUCCESS) {
+        error_set(err, kErrorKindIo, "cannot reach %s:%u", address, port);
+        arena_destroy(arena);
+        return NULL;
+    }
+    conn_t *conn = create_conn(loop, socket, arena, ops, owner);
+    status = apr_socket_connect(socket, remote);
+    if (status != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(status)) {
+        error_set(err, kErrorKindIo, "cannot connect to %s:%u", address, port);
+        apr_socket_close(socket);
+        free_conn(conn);
+        return NULL;
+    }
+    update_interest(conn);
+    return conn;
+}
+
+void
+conn_send_packed(conn_t *conn, bytes_t body)
+{
+    if (conn->is_closed) {
+        return;
+    }
+    uint32_t frame_bytes = kHeaderBytes + body.size_bytes;
+    uint32_t length_bytes = htonl(body.size_bytes);
+    reserve(&conn->out, &conn->out_capacity_bytes,
+            conn->out_bytes + frame_bytes);
+    memcpy(conn->out + conn->out_bytes, &length_bytes, kHeaderBytes);
+    memcpy(conn->out + conn->out_bytes + kHeaderBytes, body.data,
+           body.size_bytes);
+    conn->out_bytes += frame_bytes;
+    counter_add(kCounterFramesOut, 1);
+    counter_add(kCounterBytesOut, frame_bytes);
+    loop_at_round_end(conn->loop, &conn->flush);
+}
+
+void
+conn_send(conn_t *conn, uint32_t type, const void *message)
+{
+    msgpack_sbuffer body;
+    msgpack_sbuffer_init(&body);
+    pack_write_message(&body, type, message_descs[type], message);
+    conn_send_packed(conn, (bytes_t){.data = (uint8_t *)body.data,
+                                     .size_bytes = (uint32_t)body.size});
+    msgpack_sbuffer_destroy(&body);
+}
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,420 @@
+#include "net/http_client.h"
+
+#include <apr_portable.h>
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/arena.h"
+#include "base/counters.h"
+#include "shell/clock.h"
+
+enum { kSpareHandles = 4096, kFirstBodyBytes = 1024, kHeaderMaxBytes = 128 };
+
+/// A socket of libcurl's.
+typedef struct {
+    http_client_t *client;
+    arena_t *arena;
+    apr_socket_t *socket;
+    curl_socket_t fd;
+    watch_t watch;
+} curl_watch_t;
+
+struct http_client {
+    loop_t *loop;
+    CURLM *multi;
+    loop_timer_t timer;
+    http_request_t *spare;
+    uint32_t spare_count;
+    http_request_t *active;
+    round_end_t collect;
+};
+
+struct http_request {
+    http_client_t *client;
+    CURL *easy;
+    struct curl_slist *headers;
+    http_done_t on_done;
+    void *owner;
+    http_reply_t reply;
+    uint8_t *body;
+    uint32_t body_capacity_bytes;
+    uint32_t pass_count; ///< times that libcurl came to send the request
+    http_request_t *next;
+    http_request_t *prev;
+};
+
+/// Called once a pass, just before the request is sent.
+static int
+allow_one_pass(void *owner, char *remote_ip, char *local_ip, int remote_port,
+               int local_port)
+{
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    http_request_t *request = owner;
+    request->pass_count++;
+    if (request->pass_count > 1) {
+        counter_add(kCounterSecondPassBlocked, 1);
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+take_body(char *data, size_t size, size_t count, void *owner)
+{
+    http_request_t *request = owner;
+    uint32_t add_bytes = (uint32_t)(size * count);
+    uint32_t held_bytes = request->reply.body.size_bytes;
+    uint32_t need_bytes = held_bytes + add_bytes + 1;
+    if (need_bytes > request->body_capacity_bytes) {
+        uint32_t grown_bytes = request->body_capacity_bytes == 0
+                                   ? kFirstBodyBytes
+                                   : request->body_capacity_bytes;
+        while (grown_bytes < need_bytes) {
+            grown_bytes *= 2;
+        }
+        request->body = realloc(request->body, grown_bytes);
+        request->body_capacity_bytes = grown_bytes;
+    }
+    memcpy(request->body + held_bytes, data, add_bytes);
+    request->body[held_bytes + add_bytes] = '\0';
+    request->reply.body.size_bytes += add_bytes;
+    return add_bytes;
+}
+
+/// Reads a load header's value: BUSY/SLOTS.
+static void
+take_load(http_reply_t *reply, const char *value)
+{
+    char *end = NULL;
+    unsigned long busy = strtoul(value, &end, 10);
+    if (end != value && *end == '/') {
+        reply->has_load = true;
+        reply->load_busy = (uint32_t)busy;
+        reply->load_slots = (uint32_t)strtoul(end + 1, NULL, 10);
+    }
+}
+
+static size_t
+take_header(char *data, size_t size, size_t count, void *owner)
+{
+    http_reply_t *reply = &((http_request_t *)owner)->reply;
+    size_t size_bytes = size * count;
+    if (size_bytes < 3 || (data[0] != 'J' && data[0] != 'j')) {
+        return size_bytes;
+    }
+    char line[kHeaderMaxBytes] = "";
+    size_t used_bytes =
+        size_bytes < sizeof line ? size_bytes : sizeof line - 1;
+    memcpy(line, data, used_bytes);
+    if (strncasecmp(line, "Jt-Not-Run: 1", 13) == 0) {
+        reply->has_not_run = true;
+    }
+    else if (strncasecmp(line, "Jt-Leaving: 1", 13) == 0) {
+        reply->has_leaving = true;
+    }
+    else if (strncasecmp(line, "Jt-Load: ", 9) == 0) {
+        take_load(reply, line + 9);
+    }
+    return size_bytes;
+}
+
+static void
+forget(http_request_t *request)
+{
+    http_client_t *client = request->client;
+    if (request->prev != NULL) {
+        request->prev->next = request->next;
+    }
+    else {
+        client->active = request->next;
+    }
+    if (request->next != NULL) {
+        request->next->prev = request->prev;
+    }
+    curl_multi_remove_handle(client->multi, request->easy);
+    curl_slist_free_all(request->headers);
+    request->headers = NULL;
+}
+
+static void
+free_request(http_request_t *request)
+{
+    curl_easy_cleanup(request->easy);
+    free(request->body);
+    free(request);
+}
+
+/// Keeps a handle for the next request, or frees it.
+static void
+recycle(http_request_t *request)
+{
+    http_client_t *client = request->client;
+    if (client->spare_count >= kSpareHandles) {
+        free_request(request);
+        return;
+    }
+    request->next = client->spare;
+    client->spare = request;
+    client->spare_count++;
+}
+
+static http_end_t
+judge_end(const http_request_t *request, CURLcode code)
+{
+    if (code == CURLE_OK && request->pass_count == 1) {
+        return kHttpEndAnswered;
+    }
+    return request->pass_count == 0 ? kHttpEndNotSent : kHttpEndUnknown;
+}
+
+static void
+end_request(http_request_t *request, CURLcode code)
+{
+    long status = 0;
+    curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+    http_reply_t reply = request->reply;
+    reply.end = judge_end(request, code);
+    reply.status = (uint32_t)status;
+    reply.body.data = request->body;
+    http_done_t on_done = request->on_done;
+    void *owner = request->owner;
+    forget(request);
+    on_done(owner, &reply);
+    recycle(request);
+}
+
+static void
+collect_ended(round_end_t *end)
+{
+    http_client_t *client = caa_container_of(end, http_client_t, collect);
+    CURLMsg *message;
+    int left = 0;
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        if (message->msg == CURLMSG_DONE) {
+            http_request_t *request = NULL;
+            CURLcode code = message->data.result;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+                              (char **)&request);
+            end_request(request, code);
+        }
+    }
+}
+
+static void
+act(http_client_t *client, curl_socket_t fd, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(client->multi, fd, events, &running);
+    loop_at_round_end(client->loop, &client->collect);
+}
+
+static void
+on_timer(loop_timer_t *timer)
+{
+    act(timer->owner, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+set_timer(CURLM *multi, long left_ms, void *owner)
+{
+    (void)multi;
+    http_client_t *client = owner;
+    if (left_ms < 0) {
+        loop_timer_clear(client->loop, &client->timer);
+    }
+    else {
+        loop_timer_set(client->loop, &client->timer,
+                       clock_deadline_ns((uint64_t)left_ms));
+    }
+    return 0;
+}
+
+static void
+on_socket_ready(watch_t *watch, uint32_t ready)
+{
+    curl_watch_t *curl_watch = watch->owner;
+    int events = 0;
+    if (ready & kReadyRead) {
+        events |= CURL_CSELECT_IN;
+    }
+    if (ready & kReadyWrite) {
+        events |= CURL_CSELECT_OUT;
+    }
+    if (ready & kReadyError) {
+        events |= CURL_CSELECT_ERR;
+    }
+    act(curl_watch->client, curl_watch->fd, events);
+}
+
+static void
+free_watch(void *memory)
+{
+    curl_watch_t *curl_watch = memory;
+    arena_destroy(curl_watch->arena);
+    free(curl_watch);
+}
+
+static curl_watch_t *
+create_watch(http_client_t *client, curl_socket_t fd)
+{
+    curl_watch_t *curl_watch = calloc(1, sizeof *curl_watch);
+    *curl_watch = (curl_watch_t){
+        .client = client,
+        .arena = arena_create(),
+        .fd = fd,
+        .watch = {.on_ready = on_socket_ready, .owner = curl_watch}};
+    apr_os_sock_put(&curl_watch->socket, &curl_watch->fd, curl_watch->arena);
+    curl_multi_assign(client->multi, fd, curl_watch);
+    return curl_watch;
+}
+
+static int
+set_watch(CURL *easy, curl_socket_t fd, int what, void *owner,
+          void *socket_owner)
+{
+    (void)easy;
+    http_client_t *client = owner;
+    curl_watch_t *curl_watch = socket_owner;
+    if (what == CURL_POLL_REMOVE) {
+        if (curl_watch != NULL) {
+            loop_watch(client->loop, &curl_watch->watch, curl_watch->socket,
+                       0);
+            loop_free_later(client->loop, curl_watch, free_watch);
+            curl_multi_assign(client->multi, fd, NULL);
+        }
+        return 0;
+    }
+    if (curl_watch == NULL) {
+        curl_watch = create_watch(client, fd);
+    }
+    uint32_t interest = (what & CURL_POLL_IN ? kReadyRead : 0) |
+                        (what & CURL_POLL_OUT ? kReadyWrite : 0);
+    loop_watch(client->loop, &curl_watch->watch, curl_watch->socket, interest);
+    return 0;
+}
+
+http_client_t *
+http_client_create(loop_t *loop)
+{
+    http_client_t *client = calloc(1, sizeof *client);
+    *client = (http_client_t){.loop = loop,
+                              .multi = curl_multi_init(),
+                              .collect = {.run = collect_ended}};
+    loop_timer_init(&client->timer, on_timer, client);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, set_watch);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 4096L);
+    return client;
+}
+
+void
+http_client_destroy(http_client_t *client)
+{
+    while (client->active != NULL) {
+        http_request_t *request = client->active;
+        forget(request);
+        free_request(request);
+    }
+    while (client->spare != NULL) {
+        http_request_t *request = client->spare;
+        client->spare = request->next;
+        free_request(request);
+    }
+    curl_multi_cleanup(client->multi);
+    loop_timer_clear(client->loop, &client->timer);
+    free(client);
+}
+
+/// Takes a kept handle or makes one, with the options that never change.
+static http_request_t *
+take_handle(http_client_t *client)
+{
+    http_request_t *request = client->spare;
+    if (request != NULL) {
+        client->spare = request->next;
+        client->spare_count--;
+        return request;
+    }
+    request = calloc(1, sizeof *request);
+    request->client = client;
+    request->easy = curl_easy_init();
+    CURL *easy = request->easy;
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, (char *)request);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, allow_one_pass);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, request);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, request);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, request);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    return request;
+}
+
+static void
+set_options(http_request_t *request, const http_spec_t *spec)
+{
+    CURL *easy = request->easy;
+    uint32_t left_ms = clock_left_ms(spec->deadline_ns);
+    long trust_s = (long)(spec->idle_trust_ms + 999) / 1000;
+    curl_easy_setopt(easy, CURLOPT_URL, spec->url);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, spec->method);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->headers);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     left_ms > 0 ? (long)left_ms : 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)spec->connect_limit_ms);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, trust_s);
+    if (strcmp(spec->method, "GET") == 0) {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    else {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         spec->body.data == NULL ? (const uint8_t *)""
+                                                 : spec->body.data);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)spec->body.size_bytes);
+    }
+}
+
+http_request_t *
+http_client_start(http_client_t *client, const http_spec_t *spec)
+{
+    http_request_t *request = take_handle(client);
+    request->on_done = spec->on_done;
+    request->owner = spec->owner;
+    request->reply = (http_reply_t){0};
+    request->pass_count = 0;
+    request->prev = NULL;
+    request->next = client->active;
+    if (client->active != NULL) {
+        client->active->prev = request;
+    }
+    client->active = request;
+    for (const char *const *header = spec->headers;
+         header != NULL && *header != NULL; header++) {
+        request->headers = curl_slist_append(request->headers, *header);
+    }
+    set_options(request, spec);
+    curl_multi_add_handle(client->multi, request->easy);
+    return request;
+}
+
+void
+http_client_abort(http_client_t *client, http_request_t *request)
+{
+    (void)client;
+    forget(request);
+    free_request(request);
+}
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,61 @@
+/// An HTTP client on a loop, over libcurl's multi interface. A request is
+/// sent at most once: a second pass of libcurl over the same request, as on
+/// a reused connection that the server closed, is stopped before it sends.
+#ifndef JT_NET_HTTP_CLIENT_H
+#define JT_NET_HTTP_CLIENT_H
+
+#include "base/record.h"
+#include "net/loop.h"
+
+typedef struct http_client http_client_t;
+typedef struct http_request http_request_t;
+
+/// How a request ended.
+typedef enum {
+    kHttpEndAnswered, ///< a whole answer came
+    kHttpEndNotSent,  ///< proved: no byte of the request was written
+    kHttpEndUnknown   ///< the server may have read it
+} http_end_t;
+
+/// What came back. Valid during the callback.
+typedef struct {
+    http_end_t end;
+    uint32_t status;
+    bytes_t body;
+    bool has_not_run;    ///< Jt-Not-Run: 1
+    bool has_leaving;    ///< Jt-Leaving: 1
+    bool has_load;       ///< Jt-Load: BUSY/SLOTS
+    uint32_t load_busy;  ///< slots in use at the target
+    uint32_t load_slots; ///< slots of the target
+} http_reply_t;
+
+typedef void (*http_done_t)(void *owner, const http_reply_t *reply);
+
+/// What to send. Strings and body must last until the request ends.
+typedef struct {
+    const char *method;
+    const char *url;
+    const char *const *headers; ///< "Name: value", ends with NULL
+    bytes_t body;
+    int64_t deadline_ns;
+    uint32_t connect_limit_ms;
+    uint32_t idle_trust_ms; ///< longest idle time of a connection to reuse
+    http_done_t on_done;
+    void *owner;
+} http_spec_t;
+
+http_client_t *http_client_create(loop_t *loop);
+
+/// Ends all requests without calling back, and frees the client.
+void http_client_destroy(http_client_t *client);
+
+/// Starts a request. on_done is called once, from the loop.
+///
+/// @return a handle for http_client_abort, valid until on_done
+http_request_t *http_client_start(http_client_t *client,
+                                  const http_spec_t *spec);
+
+/// Ends a request without calling back; its connection is closed.
+void http_client_abort(http_client_t *client, http_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/route/route.c
@@ -0,0 +1,124 @@
+#include "route/route.h"
+
+#include <stddef.h>
+
+enum {
+    kReserveTries = 4, ///< another thread may take the slot first
+    kSampleSize = 64   ///< targets that "expected" compares at most
+};
+
+static bool
+is_candidate(const target_t *target, const route_query_t *query)
+{
+    return target_is_open(target, query->now_ns) &&
+           target_fits(target, query->needs);
+}
+
+/// @return the first candidate from a place on, or NULL
+static target_t *
+find_from(const target_table_t *table, uint32_t start,
+          const route_query_t *query)
+{
+    for (uint32_t i = 0; i < table->count; i++) {
+        target_t *target = table->targets[(start + i) % table->count];
+        if (is_candidate(target, query)) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+/// Any candidate.
+static target_t *
+choose_random(const target_table_t *table, const route_query_t *query,
+              rng_t *rng)
+{
+    return find_from(table, rng_below(rng, table->count), query);
+}
+
+/// @return slots in use over slots, in 1/1024
+static uint32_t
+load_of(const target_t *target)
+{
+    return atomic_load_explicit(&target->outstanding, memory_order_relaxed) *
+           1024 / target->slots;
+}
+
+/// The candidate with the least part of its slots in use.
+static target_t *
+choose_least(const target_table_t *table, const route_query_t *query,
+             rng_t *rng)
+{
+    target_t *best = NULL;
+    uint32_t start = rng_below(rng, table->count);
+    for (uint32_t i = 0; i < table->count; i++) {
+        target_t *target = table->targets[(start + i) % table->count];
+        if (is_candidate(target, query) &&
+            (best == NULL || load_of(target) < load_of(best))) {
+            best = target;
+        }
+    }
+    return best;
+}
+
+/// The less loaded of two random candidates.
+static target_t *
+choose_two(const target_table_t *table, const route_query_t *query, rng_t *rng)
+{
+    target_t *first = choose_random(table, query, rng);
+    target_t *second = first == NULL ? NULL : choose_random(table, query, rng);
+    if (second == NULL) {
+        return first;
+    }
+    return load_of(second) < load_of(first) ? second : first;
+}
+
+/// The candidate that is expected to finish first, by measured service time
+/// of the kind; the less loaded one among equals. A target never tried goes
+/// first, one task at a time.
+static target_t *
+choose_expected(const target_table_t *table, const route_query_t *query,
+                rng_t *rng)
+{
+    target_t *best = NULL;
+    int64_t best_ns = 0;
+    uint32_t seen_count = 0;
+    uint32_t start = rng_below(rng, table->count);
+    for (uint32_t i = 0; i < table->count && seen_count < kSampleSize; i++) {
+        target_t *target = table->targets[(start + i) % table->count];
+        if (!is_candidate(target, query)) {
+            continue;
+        }
+        seen_count++;
+        int64_t service_ns = target_service_ns(target, query->kind_bucket);
+        if (best == NULL || service_ns < best_ns) {
+            best = target;
+            best_ns = service_ns;
+        }
+    }
+    return best;
+}
+
+const route_ops_t route_table[kRoutingCount] = {
+    [kRoutingRandom] = {.name = "random", .choose = choose_random},
+    [kRoutingLeastOutstanding] = {.name = "least_outstanding",
+                                  .choose = choose_least},
+    [kRoutingTwoChoices] = {.name = "two_choices", .choose = choose_two},
+    [kRoutingExpected] = {.name = "expected", .choose = choose_expected},
+};
+
+target_t *
+route_reserve(routing_t routing, const target_table_t *table,
+              const route_query_t *query, rng_t *rng)
+{
+    if (table->count == 0) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < kReserveTries; i++) {
+        target_t *target = route_table[routing].choose(table, query, rng);
+        if (target == NULL || target_reserve(target, query->now_ns)) {
+            return target;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/route/route.h
@@ -0,0 +1,32 @@
+/// Choice of a target for a task: policies in a table.
+#ifndef JT_ROUTE_ROUTE_H
+#define JT_ROUTE_ROUTE_H
+
+#include "base/rng.h"
+#include "generated/settings.h"
+#include "route/target.h"
+
+/// What a choice goes by.
+typedef struct {
+    const needs_t *needs;
+    uint32_t kind_bucket;
+    int64_t now_ns;
+} route_query_t;
+
+/// A policy. It looks for an open target that fits; it reserves nothing.
+typedef struct {
+    const char *name;
+    target_t *(*choose)(const target_table_t *table,
+                        const route_query_t *query, rng_t *rng);
+} route_ops_t;
+
+extern const route_ops_t route_table[kRoutingCount];
+
+/// Chooses a target and takes a slot of it.
+///
+/// @return the target, to be given back with target_release; NULL where no
+///         open target fits
+target_t *route_reserve(routing_t routing, const target_table_t *table,
+                        const route_query_t *query, rng_t *rng);
+
+#endif
--- /dev/null
+++ b/src/route/target.h
@@ -0,0 +1,119 @@
+/// Targets of a data centre: what they are, what is known of them, and the
+/// table of them that threads read under RCU.
+#ifndef JT_ROUTE_TARGET_H
+#define JT_ROUTE_TARGET_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "generated/documents.h"
+#include "generated/messages.h"
+
+enum {
+    kKindBuckets = 16,
+    kTargetUrlBytes = 80,
+    kTargetAddressBytes = 46,
+    kTrialOutstanding = 1 ///< tries out at once on a target on probation
+};
+
+/// What a try tells of its target.
+typedef enum {
+    kSignDone,    ///< ran and answered
+    kSignFailed,  ///< ran or may have run, and failed
+    kSignRefused, ///< refused before the start: no free slot
+    kSignAbsent,  ///< could not be reached
+    kSignLeaving, ///< refused before the start: it is leaving
+    kSignNone     ///< ended by us; says nothing
+} target_sign_t;
+
+/// A target. Fixed fields are set before it is published; the rest are
+/// atomics that any thread reads and writes.
+typedef struct {
+    uint32_t vm;
+    uint16_t port;
+    char address[kTargetAddressBytes];
+    char base_url[kTargetUrlBytes];
+    uint32_t slots;
+    needs_t capacity;
+
+    _Atomic uint32_t reference_count;
+    _Atomic bool is_leaving;          ///< by the platform's list
+    _Atomic int64_t leaving_until_ns; ///< by its own word, until then
+    _Atomic uint32_t share_slots;     ///< this process's own part of the slots
+    _Atomic uint32_t outstanding;     ///< tries of this process that are out
+    _Atomic uint32_t load_busy;       ///< slots in use, as last reported
+    _Atomic int64_t full_until_ns;    ///< own share only, until then
+    _Atomic int64_t absent_until_ns;
+    _Atomic int64_t service_ns[kKindBuckets]; ///< mean of done tries; 0 none
+    _Atomic uint32_t fail_streak;
+    _Atomic int64_t ejected_until_ns; ///< 0 when not ejected
+    _Atomic bool is_on_trial; ///< new or back from ejection, not yet proved
+    _Atomic uint64_t done_count;
+    _Atomic uint64_t failed_count;
+} target_t;
+
+/// The targets of one data centre at one time. The list is immutable once
+/// published; the count of ejections is not.
+typedef struct {
+    uint32_t count;
+    int32_t eject_cap; ///< most targets ejected at once
+    target_t **targets;
+    _Atomic int32_t ejected_count;
+} target_table_t;
+
+/// Builds the table that follows another one. Targets that stay keep what is
+/// known of them.
+///
+/// @param old          table to follow, or NULL
+/// @param vms          the platform's list
+/// @param vm_count     entries of the list
+/// @param dc           data centre whose targets are taken
+/// @param entry_vm     VM of this process, for its share of the slots
+/// @param cap_percent  largest share of targets ejected at once
+target_table_t *target_table_build(const target_table_t *old,
+                                   const vm_entry_t *vms, uint32_t vm_count,
+                                   uint16_t dc, uint32_t entry_vm,
+                                   uint32_t cap_percent);
+
+/// Frees a table and lets go of its targets.
+void target_table_free(target_table_t *table);
+
+/// @return whether any target could ever run a task of these needs
+bool target_table_fits(const target_table_t *table, const needs_t *needs);
+
+/// @return slots of all targets that are not leaving
+uint64_t target_table_slots(const target_table_t *table);
+
+/// @return whether the target is large enough
+bool target_fits(const target_t *target, const needs_t *needs);
+
+/// @return whether a try may be sent now
+bool target_is_open(const target_t *target, int64_t now_ns);
+
+/// Takes a slot. The caller holds the target until target_release.
+///
+/// @return whether there was one
+bool target_reserve(target_t *target, int64_t now_ns);
+
+/// Gives a slot back, with what was learned.
+///
+/// @param sign        what the try told
+/// @param service_ns  time of a done try
+void target_release(target_t *target, target_table_t *table,
+                    target_sign_t sign, uint32_t kind_bucket,
+                    int64_t service_ns, int64_t now_ns);
+
+/// Notes that the target said it is leaving, whatever the list says.
+void target_note_leaving(target_t *target, int64_t now_ns);
+
+/// Takes in a load that the target reported.
+void target_note_load(target_t *target, uint32_t busy);
+
+/// @return mean service time of a kind; an estimate for one not yet seen
+int64_t target_service_ns(const target_t *target, uint32_t kind_bucket);
+
+/// @return the bucket of a kind's name
+uint32_t target_kind_bucket(const char *kind);
+
+#endif
