--- a/src/config/document.c
+++ b/src/config/document.c
@@ -6,7 +6,7 @@
 
 struct document {
     document_check_t check;
-    arena_t *arena;       ///< of the hash
+    arena_t *arena;       ///< of the hash and the names
     apr_hash_t *sections; ///< name to section_entry_t
     uint64_t next;
 };
@@ -22,14 +22,8 @@
     return document;
 }
 
-static void
-free_section(section_entry_t *section)
-{
-    free((char *)section->name);
-    free((char *)section->text);
-    free(section);
-}
-
+/// Drops all sections. Names live in the arena, texts on the heap, because
+/// only texts change often.
 static void
 clear_sections(document_t *document)
 {
@@ -37,9 +31,10 @@
          at != NULL; at = apr_hash_next(at)) {
         void *section = NULL;
         apr_hash_this(at, NULL, NULL, &section);
-        free_section(section);
+        free((char *)((section_entry_t *)section)->text);
     }
-    apr_hash_clear(document->sections);
+    apr_pool_clear(document->arena);
+    document->sections = apr_hash_make(document->arena);
 }
 
 void
@@ -68,19 +63,27 @@
     return apr_hash_get(document->sections, name, APR_HASH_KEY_STRING);
 }
 
-/// Gives a section a new text.
-static void
-set_section(document_t *document, const char *name, uint64_t offset,
-            const char *text)
+/// @return the section, made where there is none
+static section_entry_t *
+open_section(document_t *document, const char *name)
 {
     section_entry_t *section =
         apr_hash_get(document->sections, name, APR_HASH_KEY_STRING);
     if (section == NULL) {
-        section = calloc(1, sizeof *section);
-        section->name = strdup(name);
+        section = apr_pcalloc(document->arena, sizeof *section);
+        section->name = arena_copy(document->arena, name, strlen(name));
         apr_hash_set(document->sections, section->name, APR_HASH_KEY_STRING,
                      section);
     }
+    return section;
+}
+
+/// Gives a section a new text.
+static void
+set_section(document_t *document, const char *name, uint64_t offset,
+            const char *text)
+{
+    section_entry_t *section = open_section(document, name);
     char *copy = strdup(text);
     free((char *)section->text);
     section->text = copy;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -317,15 +317,18 @@
 void
 http_client_destroy(http_client_t *client)
 {
-    while (client->active != NULL) {
-        http_request_t *request = client->active;
+    http_request_t *request = client->active;
+    while (request != NULL) {
+        http_request_t *next = request->next;
         forget(request);
         free_request(request);
+        request = next;
     }
-    while (client->spare != NULL) {
-        http_request_t *request = client->spare;
-        client->spare = request->next;
+    request = client->spare;
+    while (request != NULL) {
+        http_request_t *next = request->next;
         free_request(request);
+        request = next;
     }
     curl_multi_cleanup(client->multi);
     loop_timer_clear(client->loop, &client->timer);
--- a/src/queue/waiting.c
+++ b/src/queue/waiting.c
@@ -80,8 +80,11 @@
 void
 waiting_destroy(waiting_t *waiting)
 {
-    while (waiting->classes != NULL) {
-        free_class(waiting, waiting->classes);
+    waiting_class_t *group = waiting->classes;
+    while (group != NULL) {
+        waiting_class_t *next = group->next;
+        free_class(waiting, group);
+        group = next;
     }
     free(waiting);
 }
--- /dev/null
+++ b/tests/functional/test_resubmit.c
@@ -0,0 +1,165 @@
+/// Resubmission: one start a task and one answer, whatever the caller does.
+#include <apr_general.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/suite.h"
+
+enum { kCopies = 50, kTasks = 5, kJobBytes = 4096 };
+
+static cluster_t cluster;
+
+/// Fifty copies of a submission at once, through every front.
+static void
+test_copies_at_once(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t copies[kCopies];
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_job(job, sizeof job, kTasks, 100, 20000);
+    cluster_mint(&cluster, 0, id);
+    for (uint32_t i = 0; i < kCopies; i++) {
+        cluster_fill_submit(&cluster, i % cluster.vm_count, id, job,
+                            &copies[i]);
+    }
+    caller_run(copies, kCopies);
+    for (uint32_t i = 0; i < kCopies; i++) {
+        CU_ASSERT_EQUAL(copies[i].status, 200);
+        CU_ASSERT_STRING_EQUAL(copies[i].reply, copies[0].reply);
+    }
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts") - before, kTasks);
+    caller_free(copies, kCopies);
+}
+
+/// The same again after the end, and read back through the other data
+/// centre.
+static void
+test_after_the_end(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t first;
+    caller_request_t again;
+    caller_request_t read;
+    cluster_job(job, sizeof job, kTasks, 10, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &first), 200);
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    CU_ASSERT_EQUAL(
+        cluster_submit(&cluster, cluster.vm_count - 1, id, job, &again), 200);
+    CU_ASSERT_STRING_EQUAL(first.reply, again.reply);
+    caller_ask(&read, "GET", NULL, "http://%s:8080/v1/jobs/%s",
+               cluster.vms[cluster.vm_count - 1].address, id);
+    CU_ASSERT_STRING_EQUAL(first.reply, read.reply);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+    caller_free(&first, 1);
+    caller_free(&again, 1);
+    caller_free(&read, 1);
+}
+
+/// Another body under the same id is refused and starts nothing.
+static void
+test_other_body(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_job(job, sizeof job, kTasks, 10, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_job(job, sizeof job, kTasks + 1, 10, 20000);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 409);
+    CU_ASSERT(caller_has(&request, "\"kind\":\"conflict\""));
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+    caller_free(&request, 1);
+}
+
+/// An id that was guessed by counting is not served.
+static void
+test_guessed_id(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_job(job, sizeof job, 1, 10, 20000);
+    cluster_mint(&cluster, 0, id);
+    id[43] = id[43] == '0' ? '1' : '0'; // in the sequence number
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 404);
+    CU_ASSERT(request.is_not_run);
+    caller_free(&request, 1);
+}
+
+/// Refusals of malformed jobs name the place, and nothing runs.
+static void
+test_bad_jobs(void)
+{
+    static const struct {
+        const char *body;
+        const char *reason;
+    } cases[] = {
+        {"{\"team\":\"counter\",\"tasks\":[]}", "tasks: found []"},
+        {"{\"team\":\"counter\",\"tasks\":[{\"kind\":7}]}",
+         "tasks[0].kind: found 7"},
+        {"{\"team\":\"counter\",\"tasks\":[{\"kind\":\"a\",\"x\":1}]}",
+         "tasks[0].x: unknown key"},
+        {"{\"tasks\":[{\"kind\":\"a\"}]}", "team: found nothing"},
+        {"{\"team\":\"counter\"", "byte "},
+    };
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char id[kCallerIdBytes];
+        caller_request_t request;
+        cluster_mint(&cluster, 0, id);
+        CU_ASSERT_EQUAL(
+            cluster_submit(&cluster, 0, id, cases[i].body, &request), 400);
+        CU_ASSERT(caller_has(&request, cases[i].reason));
+        CU_ASSERT(request.is_not_run);
+        caller_free(&request, 1);
+    }
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+}
+
+/// A cancelled job ends, with a state for each task and no result.
+static void
+test_cancel(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t requests[2];
+    cluster_job(job, sizeof job, 40, 5000, 30000);
+    cluster_mint(&cluster, 0, id);
+    cluster_fill_submit(&cluster, 0, id, job, &requests[0]);
+    cluster_fill_submit(&cluster, 0, id, NULL, &requests[1]);
+    requests[1].method = "DELETE";
+    // The cancellation may come before the submission; ask until it counts.
+    caller_request_t cancel = requests[1];
+    caller_run(requests, 2);
+    while (requests[0].status != 409) {
+        caller_run(&cancel, 1);
+        caller_free(&cancel, 1);
+    }
+    CU_ASSERT(caller_has(&requests[0], "\"kind\":\"cancelled\""));
+    CU_ASSERT_FALSE(caller_has(&requests[0], "done 00"));
+    caller_free(requests, 2);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"copies at once", test_copies_at_once},
+        {"after the end", test_after_the_end},
+        {"another body", test_other_body},
+        {"guessed id", test_guessed_id},
+        {"bad jobs", test_bad_jobs},
+        {"cancel", test_cancel},
+        CU_TEST_INFO_NULL};
+    apr_initialize();
+    cluster_start(&cluster, &(cluster_options_t){.dcs = 2, .vms = 2});
+    int code = suite_run("resubmit", tests);
+    cluster_end(&cluster);
+    return code;
+}
--- /dev/null
+++ b/tests/support/caller.h
@@ -0,0 +1,42 @@
+/// HTTP requests of a test, one at a time or many at once.
+#ifndef JT_TESTS_SUPPORT_CALLER_H
+#define JT_TESTS_SUPPORT_CALLER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { kCallerIdBytes = 96, kCallerUrlBytes = 256, kCallerLimitMs = 60000 };
+
+/// A request and what came back.
+typedef struct {
+    const char *method;
+    char url[kCallerUrlBytes];
+    const char *body; ///< NULL for none
+    uint32_t status;  ///< 0 where no whole answer came
+    char *reply;      ///< freed by caller_free
+    uint32_t reply_bytes;
+    bool is_not_run;
+    char next_id[kCallerIdBytes];
+    char location[kCallerUrlBytes];
+} caller_request_t;
+
+/// Sends requests, all at once, and waits for all.
+void caller_run(caller_request_t *requests, uint32_t count);
+
+/// Sends one request.
+///
+/// @return its status
+uint32_t caller_ask(caller_request_t *request, const char *method,
+                    const char *body, const char *format, ...)
+    __attribute__((format(printf, 4, 5)));
+
+/// Frees what came back.
+void caller_free(caller_request_t *requests, uint32_t count);
+
+/// @return a number of a flat JSON reply, 0 where it lacks it
+uint64_t caller_number(const caller_request_t *request, const char *key);
+
+/// @return whether the reply holds a text
+bool caller_has(const caller_request_t *request, const char *text);
+
+#endif
--- /dev/null
+++ b/tests/support/cluster.c
@@ -0,0 +1,454 @@
+#include "support/cluster.h"
+
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <apr_time.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum {
+    kWaitStepUs = 10000,
+    kWaitLimitUs = 60 * 1000 * 1000,
+    kTextBytes = 16384
+};
+
+static const char *const part_names[kPartCount] = {"agent", "dispatch",
+                                                   "front"};
+
+void
+cluster_wait(bool (*holds)(void *state), void *state, const char *what)
+{
+    apr_time_t limit_us = apr_time_now() + kWaitLimitUs;
+    while (!holds(state)) {
+        if (apr_time_now() > limit_us) {
+            fprintf(stderr, "cluster: waited in vain: %s\n", what);
+            abort();
+        }
+        apr_sleep(kWaitStepUs);
+    }
+}
+
+/// @return the folder of the built programs
+static const char *
+build_folder(void)
+{
+    const char *folder = getenv("JT_BUILD");
+    return folder == NULL ? "." : folder;
+}
+
+/// Starts a program with its errors in a file of its own.
+static void
+spawn(cluster_t *cluster, apr_proc_t *process, const char *log_name,
+      const char *const *arguments)
+{
+    apr_procattr_t *attributes = NULL;
+    apr_file_t *log = NULL;
+    const char *path =
+        apr_psprintf(cluster->pool, "%s/%s.log", cluster->folder, log_name);
+    apr_procattr_create(&attributes, cluster->pool);
+    apr_procattr_cmdtype_set(attributes, APR_PROGRAM_ENV);
+    apr_file_open(&log, path,
+                  APR_FOPEN_WRITE | APR_FOPEN_CREATE | APR_FOPEN_APPEND,
+                  APR_FPROT_OS_DEFAULT, cluster->pool);
+    apr_procattr_child_err_set(attributes, log, NULL);
+    if (apr_proc_create(process, arguments[0], arguments, NULL, attributes,
+                        cluster->pool) != APR_SUCCESS) {
+        fprintf(stderr, "cluster: cannot start %s\n", arguments[0]);
+        abort();
+    }
+    apr_file_close(log);
+}
+
+static void
+write_settings(cluster_t *cluster, const cluster_vm_t *vm, part_t part)
+{
+    const char *further[kPartCount] = {cluster->options.agent_settings,
+                                       cluster->options.dispatch_settings,
+                                       cluster->options.front_settings};
+    const char *path =
+        apr_psprintf(cluster->pool, "%s/%u-%s.json", cluster->folder,
+                     vm->number, part_names[part]);
+    FILE *file = fopen(path, "w");
+    fprintf(file, "{%s", further[part] == NULL ? "" : further[part]);
+    if (part == kPartAgent) {
+        fprintf(file, "\"platform_url\": \"http://127.%u.0.1:7300\",",
+                cluster->net);
+        fprintf(file, "\"poll_ms\": 50, \"peers\": [");
+        bool is_first = true;
+        for (uint32_t i = 0; i < cluster->vm_count; i++) {
+            if (cluster->vms[i].number != vm->number) {
+                fprintf(file, "%s{\"address\": \"%s\"}", is_first ? "" : ",",
+                        cluster->vms[i].address);
+                is_first = false;
+            }
+        }
+        fprintf(file, "],");
+    }
+    fprintf(file, "\"here\": {\"dc\": %u, \"vm\": %u, \"address\": \"%s\"}}",
+            vm->dc, vm->number, vm->address);
+    fclose(file);
+}
+
+void
+cluster_start_part(cluster_t *cluster, uint32_t vm, part_t part)
+{
+    cluster_vm_t *own = &cluster->vms[vm];
+    const char *arguments[] = {apr_psprintf(cluster->pool, "%s/jt-%s",
+                                            build_folder(), part_names[part]),
+                               "--settings",
+                               apr_psprintf(cluster->pool, "%s/%u-%s.json",
+                                            cluster->folder, own->number,
+                                            part_names[part]),
+                               NULL};
+    spawn(cluster, &own->parts[part],
+          apr_psprintf(cluster->pool, "%u-%s", own->number, part_names[part]),
+          arguments);
+    own->is_running[part] = true;
+}
+
+void
+cluster_signal(cluster_t *cluster, uint32_t vm, part_t part, int number)
+{
+    apr_proc_kill(&cluster->vms[vm].parts[part], number);
+}
+
+int
+cluster_join_part(cluster_t *cluster, uint32_t vm, part_t part)
+{
+    int code = 0;
+    apr_exit_why_e why = APR_PROC_EXIT;
+    apr_proc_wait(&cluster->vms[vm].parts[part], &code, &why, APR_WAIT);
+    cluster->vms[vm].is_running[part] = false;
+    return why == APR_PROC_EXIT ? code : -1;
+}
+
+static void
+put_vms(cluster_t *cluster, const char *body)
+{
+    caller_request_t request;
+    caller_ask(&request, "PUT", body, "http://127.%u.0.1:7300/standin/vms",
+               cluster->net);
+    caller_free(&request, 1);
+}
+
+void
+cluster_list_vms(cluster_t *cluster, uint32_t left_out, uint32_t leaving)
+{
+    char body[kTextBytes];
+    int at = snprintf(body, sizeof body, "{\"vms\":[");
+    for (uint32_t i = 0; i < cluster->vm_count; i++) {
+        const cluster_vm_t *vm = &cluster->vms[i];
+        if (i == left_out) {
+            continue;
+        }
+        at += snprintf(body + at, sizeof body - (size_t)at,
+                       "{\"vm\":%u,\"dc\":%u,\"role\":\"entry\","
+                       "\"state\":\"%s\",\"address\":\"%s\"},",
+                       vm->number, vm->dc, i == leaving ? "leaving" : "live",
+                       vm->address);
+    }
+    for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
+        for (uint32_t i = 0; i < cluster->options.targets; i++) {
+            at += snprintf(body + at, sizeof body - (size_t)at,
+                           "{\"vm\":%u,\"dc\":%u,\"role\":\"target\","
+                           "\"address\":\"127.%u.%u.%u\",\"port\":9000,"
+                           "\"slots\":%u},",
+                           dc * 1000 + i, dc, cluster->net, 100 + dc, i + 1,
+                           cluster->options.slots);
+        }
+    }
+    body[at - 1] = ']';
+    snprintf(body + at, sizeof body - (size_t)at, "}");
+    put_vms(cluster, body);
+}
+
+void
+cluster_set_platform(cluster_t *cluster, const char *query)
+{
+    caller_request_t request;
+    caller_ask(&request, "POST", "", "http://127.%u.0.1:7300/standin/set?%s",
+               cluster->net, query);
+    caller_free(&request, 1);
+}
+
+void
+cluster_set_targets(cluster_t *cluster, uint32_t dc, const char *query)
+{
+    caller_request_t request;
+    caller_ask(&request, "POST", "", "http://127.%u.%u.1:9001/standin/set?%s",
+               cluster->net, 100 + dc, query);
+    caller_free(&request, 1);
+}
+
+uint64_t
+cluster_ledger(cluster_t *cluster, const char *key)
+{
+    uint64_t sum = 0;
+    for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
+        caller_request_t request;
+        caller_ask(&request, "GET", NULL,
+                   "http://127.%u.%u.1:9001/standin/ledger", cluster->net,
+                   100 + dc);
+        sum += caller_number(&request, key);
+        caller_free(&request, 1);
+    }
+    return sum;
+}
+
+int
+cluster_ctl(cluster_t *cluster, uint32_t vm, uint16_t port, char *output,
+            uint32_t output_bytes, const char *arguments)
+{
+    char command[kTextBytes];
+    snprintf(command, sizeof command, "%s/jtctl -a %s -p %u %s 2>&1",
+             build_folder(), cluster->vms[vm].address, port, arguments);
+    FILE *pipe = popen(command, "r");
+    size_t size_bytes = fread(output, 1, output_bytes - 1, pipe);
+    output[size_bytes] = '\0';
+    while (fgetc(pipe) != EOF) {
+    }
+    int status = pclose(pipe);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/// A wait for a front.
+typedef struct {
+    cluster_t *cluster;
+    uint32_t vm;
+} front_wait_t;
+
+static bool
+does_serve(void *state)
+{
+    front_wait_t *wait = state;
+    caller_request_t request;
+    uint32_t status =
+        caller_ask(&request, "GET", NULL, "http://%s:8080/v1/health",
+                   wait->cluster->vms[wait->vm].address);
+    caller_free(&request, 1);
+    return status == 200;
+}
+
+void
+cluster_wait_front(cluster_t *cluster, uint32_t vm)
+{
+    front_wait_t wait = {.cluster = cluster, .vm = vm};
+    cluster_wait(does_serve, &wait, "a front serves");
+}
+
+static bool
+is_ready(void *state)
+{
+    front_wait_t *wait = state;
+    char output[kTextBytes];
+    caller_request_t request;
+    uint32_t status =
+        caller_ask(&request, "POST", "", "http://%s:8080/v1/job-ids",
+                   wait->cluster->vms[wait->vm].address);
+    caller_free(&request, 1);
+    return status == 200 &&
+           cluster_ctl(wait->cluster, wait->vm, 7401, output, sizeof output,
+                       "dump") == 0 &&
+           strstr(output, "\"config_offset\":0") == NULL &&
+           strstr(output, "\"teams\":0") == NULL &&
+           strstr(output, "\"members\":0") == NULL;
+}
+
+void
+cluster_wait_ready(cluster_t *cluster, uint32_t vm)
+{
+    front_wait_t wait = {.cluster = cluster, .vm = vm};
+    cluster_wait(is_ready, &wait, "a VM is ready");
+}
+
+static bool
+is_platform_up(void *state)
+{
+    caller_request_t request;
+    uint32_t status =
+        caller_ask(&request, "GET", NULL, "http://127.%u.0.1:7300/standin/log",
+                   ((cluster_t *)state)->net);
+    caller_free(&request, 1);
+    return status == 200;
+}
+
+/// Puts a section for each team into the log, as if published before.
+static void
+publish_teams(cluster_t *cluster)
+{
+    char *names = apr_pstrdup(cluster->pool, cluster->options.teams);
+    char *rest = NULL;
+    uint32_t number = 0;
+    for (char *name = strtok_r(names, " ", &rest); name != NULL;
+         name = strtok_r(NULL, " ", &rest)) {
+        caller_request_t request;
+        const char *body =
+            apr_psprintf(cluster->pool,
+                         "{\"section\":\"%s\",\"base\":0,\"edit_id\":\"t%u\","
+                         "\"text\":\"{}\"}",
+                         name, number++);
+        caller_ask(&request, "POST", body,
+                   "http://127.%u.0.1:7300/v1/log/config", cluster->net);
+        caller_free(&request, 1);
+    }
+}
+
+static void
+start_standins(cluster_t *cluster)
+{
+    const char *folder = build_folder();
+    const char *platform[] = {
+        apr_pstrcat(cluster->pool, folder, "/standin-platform", NULL),
+        "--address",
+        apr_psprintf(cluster->pool, "127.%u.0.1", cluster->net),
+        "--port",
+        "7300",
+        NULL};
+    spawn(cluster, &cluster->platform, "platform", platform);
+    for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
+        const char *targets[] = {
+            apr_pstrcat(cluster->pool, folder, "/standin-targets", NULL),
+            "--address",
+            apr_psprintf(cluster->pool, "127.%u.%u.1", cluster->net, 100 + dc),
+            "--count",
+            apr_psprintf(cluster->pool, "%u", cluster->options.targets),
+            "--slots",
+            apr_psprintf(cluster->pool, "%u", cluster->options.slots),
+            NULL};
+        spawn(cluster, &cluster->targets[dc - 1],
+              apr_psprintf(cluster->pool, "targets%u", dc), targets);
+    }
+    cluster_wait(is_platform_up, cluster, "the platform serves");
+}
+
+static void
+set_defaults(cluster_options_t *options)
+{
+    options->dcs = options->dcs == 0 ? 1 : options->dcs;
+    options->vms = options->vms == 0 ? 1 : options->vms;
+    options->targets = options->targets == 0 ? 2 : options->targets;
+    options->slots = options->slots == 0 ? 8 : options->slots;
+    if (options->teams == NULL) {
+        options->teams = "counter";
+    }
+}
+
+static void
+place_vms(cluster_t *cluster)
+{
+    for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
+        for (uint32_t i = 1; i <= cluster->options.vms; i++) {
+            cluster_vm_t *vm = &cluster->vms[cluster->vm_count++];
+            vm->dc = dc;
+            vm->number = dc * 10 + i;
+            snprintf(vm->address, sizeof vm->address, "127.%u.%u.%u",
+                     cluster->net, dc, i);
+        }
+    }
+}
+
+void
+cluster_start(cluster_t *cluster, const cluster_options_t *options)
+{
+    char folder[] = "/tmp/jt-test-XXXXXX";
+    *cluster = (cluster_t){.options = *options};
+    set_defaults(&cluster->options);
+    apr_pool_create(&cluster->pool, NULL);
+    cluster->folder = apr_pstrdup(cluster->pool, mkdtemp(folder));
+    cluster->net = 100 + (uint32_t)getpid() % 128;
+    start_standins(cluster);
+    place_vms(cluster);
+    cluster_list_vms(cluster, UINT32_MAX, UINT32_MAX);
+    publish_teams(cluster);
+    for (uint32_t i = 0; i < cluster->vm_count; i++) {
+        for (part_t part = 0; part < kPartCount; part++) {
+            write_settings(cluster, &cluster->vms[i], part);
+            cluster_start_part(cluster, i, part);
+        }
+    }
+    for (uint32_t i = 0; i < cluster->vm_count; i++) {
+        cluster_wait_ready(cluster, i);
+    }
+}
+
+static void
+end_process(apr_proc_t *process)
+{
+    int code = 0;
+    apr_exit_why_e why = APR_PROC_EXIT;
+    apr_proc_kill(process, SIGKILL);
+    apr_proc_wait(process, &code, &why, APR_WAIT);
+}
+
+void
+cluster_end(cluster_t *cluster)
+{
+    for (uint32_t i = 0; i < cluster->vm_count; i++) {
+        for (part_t part = 0; part < kPartCount; part++) {
+            if (cluster->vms[i].is_running[part]) {
+                end_process(&cluster->vms[i].parts[part]);
+            }
+        }
+    }
+    end_process(&cluster->platform);
+    for (uint32_t dc = 0; dc < cluster->options.dcs; dc++) {
+        end_process(&cluster->targets[dc]);
+    }
+    if (getenv("JT_KEEP") == NULL) {
+        const char *command =
+            apr_psprintf(cluster->pool, "rm -r '%s'", cluster->folder);
+        if (system(command) != 0) {
+            fprintf(stderr, "cluster: cannot remove %s\n", cluster->folder);
+        }
+    }
+    else {
+        fprintf(stderr, "cluster: logs are in %s\n", cluster->folder);
+    }
+    apr_pool_destroy(cluster->pool);
+}
+
+void
+cluster_mint(cluster_t *cluster, uint32_t vm, char id[kCallerIdBytes])
+{
+    caller_request_t request;
+    caller_ask(&request, "POST", "", "http://%s:8080/v1/jobs",
+               cluster->vms[vm].address);
+    snprintf(id, kCallerIdBytes, "%s", strrchr(request.location, '/') + 1);
+    caller_free(&request, 1);
+}
+
+void
+cluster_fill_submit(cluster_t *cluster, uint32_t vm, const char *id,
+                    const char *body, caller_request_t *request)
+{
+    *request = (caller_request_t){.method = "PUT", .body = body};
+    snprintf(request->url, sizeof request->url, "http://%s:8080/v1/jobs/%s",
+             cluster->vms[vm].address, id);
+}
+
+uint32_t
+cluster_submit(cluster_t *cluster, uint32_t vm, const char *id,
+               const char *body, caller_request_t *request)
+{
+    cluster_fill_submit(cluster, vm, id, body, request);
+    caller_run(request, 1);
+    return request->status;
+}
+
+void
+cluster_job(char *out, uint32_t out_bytes, uint32_t task_count,
+            uint32_t task_ms, uint32_t deadline_ms)
+{
+    int at = snprintf(out, out_bytes,
+                      "{\"team\":\"counter\",\"deadline_ms\":%u,\"tasks\":[",
+                      deadline_ms);
+    for (uint32_t i = 0; i < task_count; i++) {
+        at += snprintf(out + at, out_bytes - (uint32_t)at,
+                       "%s{\"kind\":\"quote\",\"payload\":\"ms=%u n=%u\"}",
+                       i > 0 ? "," : "", task_ms, i);
+    }
+    snprintf(out + at, out_bytes - (uint32_t)at, "]}");
+}
