fix(dispatch): match each answer of a target to its try

Ruled out: libcurl's check of a reused connection, which only sees bytes that came before the reuse. Solution: Jt-Try names the try; an answer that does not carry it back is dropped, counted, and its connection closed; the outcome is may have run.

--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -12,6 +12,7 @@
 enum {
     kUrlBytes = kTargetUrlBytes + kJobIdTextBytes + 32,
     kHeaderBytes = 48,
+    kTryHeaderBytes = kJobIdTextBytes + 48,
     kPumpAgainMs = 5,
     kBackoffFirstMs = 2,
     kBackoffMaxMs = 200,
@@ -29,7 +30,7 @@
     http_request_t *request;
     char url[kUrlBytes];
     char lease_header[kHeaderBytes];
-    char try_header[kHeaderBytes];
+    char try_header[kTryHeaderBytes]; ///< comes back with the answer
     char job_header[kJobIdTextBytes + 16];
 };
 
@@ -140,7 +141,8 @@
                  try->target->base_url, record->id_text, try->task);
     apr_snprintf(try->lease_header, sizeof try->lease_header,
                  "Jt-Lease-Ms: %u", clock_left_ms(lease_ns));
-    apr_snprintf(try->try_header, sizeof try->try_header, "Jt-Try: %u",
+    apr_snprintf(try->try_header, sizeof try->try_header, "Jt-Try: %s.%u.%u",
+                 record->id_text, try->task,
                  record->job.tasks[try->task].try_count);
     apr_snprintf(try->job_header, sizeof try->job_header, "Jt-Job: %s",
                  record->id_text);
@@ -178,6 +180,7 @@
                         .url = try->url,
                         .headers = headers,
                         .body = document->payload,
+                        .mark = try->try_header,
                         .deadline_ns = lease_ns,
                         .connect_limit_ms = settings->connect_limit_ms,
                         .idle_trust_ms = settings->idle_trust_ms,
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -37,6 +37,8 @@
     http_done_t on_done;
     void *owner;
     http_reply_t reply;
+    const char *mark; ///< as in the spec
+    bool has_mark;
     uint8_t *body;
     uint32_t body_capacity_bytes;
     uint32_t pass_count; ///< times that libcurl came to send the request
@@ -98,11 +100,37 @@
     }
 }
 
+/// @return whether the header line is the one that marks the answer
+static bool
+is_mark(const http_request_t *request, const char *data, size_t size_bytes)
+{
+    size_t length = request->mark == NULL ? 0 : strlen(request->mark);
+    return length > 0 && size_bytes == length + 2 &&
+           memcmp(data, request->mark, length) == 0;
+}
+
+/// @return whether the headers end here, those of a final answer
+static bool
+ends_headers(http_request_t *request, size_t size_bytes)
+{
+    long status = 0;
+    curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+    return size_bytes == 2 && status >= 200;
+}
+
+/// Takes one header line. Returning 0 ends the request and its connection.
 static size_t
 take_header(char *data, size_t size, size_t count, void *owner)
 {
-    http_reply_t *reply = &((http_request_t *)owner)->reply;
+    http_request_t *request = owner;
+    http_reply_t *reply = &request->reply;
     size_t size_bytes = size * count;
+    request->has_mark |= is_mark(request, data, size_bytes);
+    if (request->mark != NULL && !request->has_mark &&
+        ends_headers(request, size_bytes)) {
+        counter_add(kCounterTriesLate, 1);
+        return 0;
+    }
     if (size_bytes < 3 || (data[0] != 'J' && data[0] != 'j')) {
         return size_bytes;
     }
@@ -399,6 +427,8 @@
     request->owner = spec->owner;
     request->reply = (http_reply_t){0};
     request->pass_count = 0;
+    request->mark = spec->mark;
+    request->has_mark = false;
     request->prev = NULL;
     request->next = client->active;
     if (client->active != NULL) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,8 @@
 /// An HTTP client on a loop, over libcurl's multi interface. A request is
 /// sent at most once: a second pass of libcurl over the same request, as on
 /// a reused connection that the server closed, is stopped before it sends.
+/// An answer that lacks the request's mark belongs to another request: it is
+/// dropped, and its connection, which is out of step, is closed.
 #ifndef JT_NET_HTTP_CLIENT_H
 #define JT_NET_HTTP_CLIENT_H
 
@@ -37,6 +39,7 @@
     const char *url;
     const char *const *headers; ///< "Name: value", ends with NULL
     bytes_t body;
+    const char *mark; ///< header line that the answer must carry, or NULL
     int64_t deadline_ns;
     uint32_t connect_limit_ms;
     uint32_t idle_trust_ms; ///< longest idle time of a connection to reuse
--- /dev/null
+++ b/tests/functional/test_kill.c
@@ -0,0 +1,162 @@
+/// Processes that die, freeze and come back.
+#include <apr_general.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/suite.h"
+
+enum { kJobBytes = 4096, kTasks = 4 };
+
+static cluster_t cluster;
+
+/// Starts a job of long tasks and waits until they run.
+static void
+start_long_job(uint32_t vm, uint32_t task_ms, const char *id,
+               caller_request_t *request, caller_batch_t *batch)
+{
+    static char job[kJobBytes];
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_job(job, sizeof job, kTasks, task_ms, 30000);
+    cluster_fill_submit(&cluster, vm, id, job, request);
+    caller_start(batch, request, 1);
+    cluster_wait_starts(&cluster, before + kTasks);
+}
+
+static void
+check_ledger(void)
+{
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "doubled"), 0);
+}
+
+/// The home is killed while its tasks run, and restarted on the same
+/// address: the old id is failed, may have run, and starts nothing again.
+static void
+test_kill_dispatcher(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t first;
+    caller_request_t again;
+    caller_batch_t batch;
+    cluster_mint(&cluster, 0, id);
+    start_long_job(0, 500, id, &first, &batch);
+    uint64_t starts = cluster_ledger(&cluster, "starts");
+    cluster_signal(&cluster, 0, kPartDispatch, SIGKILL);
+    cluster_join_part(&cluster, 0, kPartDispatch);
+    cluster_start_part(&cluster, 0, kPartDispatch);
+    caller_join(&batch);
+    CU_ASSERT_EQUAL(first.status, 502);
+    CU_ASSERT(caller_has(&first, "\"kind\":\"home_lost\""));
+    CU_ASSERT_FALSE(first.is_not_run);
+    cluster_submit(&cluster, 1, id, first.body, &again);
+    CU_ASSERT_EQUAL(again.status, 502);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), starts);
+    caller_free(&first, 1);
+    caller_free(&again, 1);
+    check_ledger();
+    cluster_wait_ready(&cluster, 0);
+}
+
+/// The front is killed: the caller asks through another one and gets the
+/// whole answer.
+static void
+test_kill_front(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t first;
+    caller_request_t again;
+    caller_batch_t batch;
+    cluster_mint(&cluster, 0, id);
+    start_long_job(0, 300, id, &first, &batch);
+    uint64_t starts = cluster_ledger(&cluster, "starts");
+    cluster_signal(&cluster, 0, kPartFront, SIGKILL);
+    cluster_join_part(&cluster, 0, kPartFront);
+    caller_join(&batch);
+    CU_ASSERT_EQUAL(first.status, 0);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, first.body, &again), 200);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), starts);
+    caller_free(&first, 1);
+    caller_free(&again, 1);
+    cluster_start_part(&cluster, 0, kPartFront);
+    cluster_wait_ready(&cluster, 0);
+    check_ledger();
+}
+
+/// Without an agent the rest serves on.
+static void
+test_kill_agent(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_signal(&cluster, 0, kPartAgent, SIGKILL);
+    cluster_join_part(&cluster, 0, kPartAgent);
+    cluster_job(job, sizeof job, kTasks, 10, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    cluster_start_part(&cluster, 0, kPartAgent);
+    check_ledger();
+}
+
+/// The home is frozen while its tasks run, and wakes: one whole answer.
+static void
+test_freeze_dispatcher(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t request;
+    caller_batch_t batch;
+    cluster_mint(&cluster, 0, id);
+    start_long_job(0, 200, id, &request, &batch);
+    cluster_signal(&cluster, 0, kPartDispatch, SIGSTOP);
+    apr_sleep(700000);
+    cluster_signal(&cluster, 0, kPartDispatch, SIGCONT);
+    caller_join(&batch);
+    CU_ASSERT_EQUAL(request.status, 200);
+    caller_free(&request, 1);
+    check_ledger();
+}
+
+/// A frozen home is out of reach, not over: unknown, ask again; after it
+/// wakes, the whole answer.
+static void
+test_frozen_is_unknown(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_mint(&cluster, 0, id);
+    cluster_job(job, sizeof job, kTasks, 10, 20000);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &request), 200);
+    caller_free(&request, 1);
+    cluster_signal(&cluster, 0, kPartDispatch, SIGSTOP);
+    cluster_submit(&cluster, 1, id, job, &request);
+    CU_ASSERT_EQUAL(request.status, 503);
+    CU_ASSERT(caller_has(&request, "\"kind\":\"home_unreachable\""));
+    CU_ASSERT_FALSE(request.is_not_run);
+    caller_free(&request, 1);
+    cluster_signal(&cluster, 0, kPartDispatch, SIGCONT);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &request), 200);
+    caller_free(&request, 1);
+    check_ledger();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"kill the dispatcher", test_kill_dispatcher},
+        {"kill the front", test_kill_front},
+        {"kill the agent", test_kill_agent},
+        {"freeze the dispatcher", test_freeze_dispatcher},
+        {"a frozen home is unknown", test_frozen_is_unknown},
+        CU_TEST_INFO_NULL};
+    apr_initialize();
+    cluster_start(&cluster, &(cluster_options_t){
+                                .vms = 2,
+                                .front_settings = "\"silence_limit_ms\": 200,"
+                                                  "\"reach_limit_ms\": 1000,"
+                                                  "\"wait_limit_ms\": 3000,"});
+    int code = suite_run("kill", tests);
+    cluster_end(&cluster);
+    return code;
+}
--- a/tests/functional/test_resubmit.c
+++ b/tests/functional/test_resubmit.c
@@ -128,22 +128,23 @@
 {
     char id[kCallerIdBytes];
     char job[kJobBytes];
-    caller_request_t requests[2];
+    caller_request_t submit;
+    caller_request_t cancel;
+    caller_batch_t batch;
     cluster_job(job, sizeof job, 40, 5000, 30000);
     cluster_mint(&cluster, 0, id);
-    cluster_fill_submit(&cluster, 0, id, job, &requests[0]);
-    cluster_fill_submit(&cluster, 0, id, NULL, &requests[1]);
-    requests[1].method = "DELETE";
-    // The cancellation may come before the submission; ask until it counts.
-    caller_request_t cancel = requests[1];
-    caller_run(requests, 2);
-    while (requests[0].status != 409) {
-        caller_run(&cancel, 1);
-        caller_free(&cancel, 1);
-    }
-    CU_ASSERT(caller_has(&requests[0], "\"kind\":\"cancelled\""));
-    CU_ASSERT_FALSE(caller_has(&requests[0], "done 00"));
-    caller_free(requests, 2);
+    cluster_fill_submit(&cluster, 0, id, job, &submit);
+    caller_start(&batch, &submit, 1);
+    cluster_wait_job(&cluster, 1, id);
+    caller_ask(&cancel, "DELETE", NULL, "http://%s:8080/v1/jobs/%s",
+               cluster.vms[1].address, id);
+    caller_join(&batch);
+    CU_ASSERT_EQUAL(submit.status, 409);
+    CU_ASSERT_STRING_EQUAL(submit.reply, cancel.reply);
+    CU_ASSERT(caller_has(&submit, "\"kind\":\"cancelled\""));
+    CU_ASSERT_FALSE(caller_has(&submit, "done 00"));
+    caller_free(&submit, 1);
+    caller_free(&cancel, 1);
 }
 
 int
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -26,7 +26,7 @@
 #include "shell/clock.h"
 #include "support/http_server.h"
 
-enum { kReplyBytes = 512, kAddressBytes = 20, kThreadLimit = 16 };
+enum { kReplyBytes = 768, kAddressBytes = 20, kThreadLimit = 16 };
 
 /// What a runner does with a task.
 typedef enum {
@@ -94,6 +94,7 @@
     bool is_twice;
     bool is_answered;
     char id[kServerPathBytes];
+    char try_line[kServerPathBytes];
 } run_t;
 
 /// Notes a start in the ledger.
@@ -120,20 +121,22 @@
 
 /// Writes the headers that each answer carries.
 static void
-write_headers(const runner_t *runner, bool is_not_run, char *out)
+write_headers(const runner_t *runner, const char *try_line, bool is_not_run,
+              char *out)
 {
-    snprintf(out, kReplyBytes, "Jt-Load: %u/%u\r\n%s%s", runner->busy,
-             atomic_load(&runner->slots),
+    snprintf(out, kReplyBytes, "%sJt-Load: %u/%u\r\n%s%s", try_line,
+             runner->busy, atomic_load(&runner->slots),
              is_not_run ? "Jt-Not-Run: 1\r\n" : "",
              atomic_load(&runner->is_leaving) ? "Jt-Leaving: 1\r\n" : "");
 }
 
 static void
-reply_refused(runner_t *runner, server_conn_t *conn)
+reply_refused(runner_t *runner, server_conn_t *conn,
+              const server_request_t *request)
 {
     char headers[kReplyBytes];
     atomic_fetch_add(&standin.refused, 1);
-    write_headers(runner, true, headers);
+    write_headers(runner, request->try_line, true, headers);
     server_reply(conn, 503, headers, "refused", 7);
 }
 
@@ -146,7 +149,7 @@
     run->runner->busy--;
     if (run->conn != NULL) {
         int length = snprintf(body, sizeof body, "done %s", run->id);
-        write_headers(run->runner, false, headers);
+        write_headers(run->runner, run->try_line, false, headers);
         server_conn_t *conn = run->conn;
         server_set_state(conn, NULL);
         server_reply(conn, 200, headers, body, (uint32_t)length);
@@ -175,12 +178,14 @@
 
 /// Runs a task for its time.
 static void
-start_run(runner_t *runner, server_conn_t *conn, const char *id,
-          uint64_t length_ns, bool is_twice)
+start_run(runner_t *runner, server_conn_t *conn,
+          const server_request_t *request, uint64_t length_ns, bool is_twice)
 {
+    const char *id = request->path + strlen("/v1/tasks/");
     run_t *run = calloc(1, sizeof *run);
     *run = (run_t){.runner = runner, .conn = conn, .is_twice = is_twice};
     snprintf(run->id, sizeof run->id, "%s", id);
+    snprintf(run->try_line, sizeof run->try_line, "%s", request->try_line);
     runner->busy++;
     loop_timer_init(&run->timer, end_run, run);
     server_set_state(conn, run);
@@ -223,13 +228,13 @@
     runner_mode_t mode = next_mode(runner, request);
     if (mode == kModeRefuse || atomic_load(&runner->is_leaving) ||
         runner->busy >= atomic_load(&runner->slots)) {
-        reply_refused(runner, conn);
+        reply_refused(runner, conn, request);
         return;
     }
     note_start(runner, id);
     switch (mode) {
     case kModeFail:
-        server_reply(conn, 500, "", "failed", 6);
+        server_reply(conn, 500, request->try_line, "failed", 6);
         break;
     case kModeClose:
     case kModeCloseReused:
@@ -242,11 +247,11 @@
         server_close(conn);
         break;
     case kModeLate:
-        start_run(runner, conn, id,
+        start_run(runner, conn, request,
                   ((uint64_t)request->lease_ms + 100) * kNsPerMs, false);
         break;
     default:
-        start_run(runner, conn, id, length_ns, mode == kModeTwice);
+        start_run(runner, conn, request, length_ns, mode == kModeTwice);
         break;
     }
 }
--- a/tests/support/caller.c
+++ b/tests/support/caller.c
@@ -106,6 +106,31 @@
     curl_multi_cleanup(multi);
 }
 
+static void *APR_THREAD_FUNC
+run_batch(apr_thread_t *thread, void *owner)
+{
+    (void)thread;
+    caller_batch_t *batch = owner;
+    caller_run(batch->requests, batch->count);
+    return NULL;
+}
+
+void
+caller_start(caller_batch_t *batch, caller_request_t *requests, uint32_t count)
+{
+    *batch = (caller_batch_t){.requests = requests, .count = count};
+    apr_pool_create(&batch->pool, NULL);
+    apr_thread_create(&batch->thread, NULL, run_batch, batch, batch->pool);
+}
+
+void
+caller_join(caller_batch_t *batch)
+{
+    apr_status_t status = APR_SUCCESS;
+    apr_thread_join(&status, batch->thread);
+    apr_pool_destroy(batch->pool);
+}
+
 uint32_t
 caller_ask(caller_request_t *request, const char *method, const char *body,
            const char *format, ...)
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -2,6 +2,7 @@
 #ifndef JT_TESTS_SUPPORT_CALLER_H
 #define JT_TESTS_SUPPORT_CALLER_H
 
+#include <apr_thread_proc.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -23,6 +24,21 @@
 /// Sends requests, all at once, and waits for all.
 void caller_run(caller_request_t *requests, uint32_t count);
 
+/// Requests that are under way on a thread of their own.
+typedef struct {
+    caller_request_t *requests;
+    uint32_t count;
+    apr_thread_t *thread;
+    apr_pool_t *pool;
+} caller_batch_t;
+
+/// Sends requests, all at once, and does not wait.
+void caller_start(caller_batch_t *batch, caller_request_t *requests,
+                  uint32_t count);
+
+/// Waits for all requests of a batch.
+void caller_join(caller_batch_t *batch);
+
 /// Sends one request.
 ///
 /// @return its status
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -438,6 +438,51 @@
     return request->status;
 }
 
+/// A wait for a job.
+typedef struct {
+    const char *address;
+    const char *id;
+} job_wait_t;
+
+static bool
+is_job_known(void *state)
+{
+    job_wait_t *wait = state;
+    caller_request_t request;
+    uint32_t status =
+        caller_ask(&request, "GET", NULL, "http://%s:8080/v1/jobs/%s",
+                   wait->address, wait->id);
+    caller_free(&request, 1);
+    return status != 404;
+}
+
+void
+cluster_wait_job(cluster_t *cluster, uint32_t vm, const char *id)
+{
+    job_wait_t wait = {.address = cluster->vms[vm].address, .id = id};
+    cluster_wait(is_job_known, &wait, "a job is known");
+}
+
+/// A wait for starts.
+typedef struct {
+    cluster_t *cluster;
+    uint64_t count;
+} start_wait_t;
+
+static bool
+have_started(void *state)
+{
+    start_wait_t *wait = state;
+    return cluster_ledger(wait->cluster, "starts") >= wait->count;
+}
+
+void
+cluster_wait_starts(cluster_t *cluster, uint64_t count)
+{
+    start_wait_t wait = {.cluster = cluster, .count = count};
+    cluster_wait(have_started, &wait, "tasks start");
+}
+
 void
 cluster_job(char *out, uint32_t out_bytes, uint32_t task_count,
             uint32_t task_ms, uint32_t deadline_ms)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -105,6 +105,12 @@
 uint32_t cluster_submit(cluster_t *cluster, uint32_t vm, const char *id,
                         const char *body, caller_request_t *request);
 
+/// Waits until a job is known to its home.
+void cluster_wait_job(cluster_t *cluster, uint32_t vm, const char *id);
+
+/// Waits until the targets' ledger counts so many starts.
+void cluster_wait_starts(cluster_t *cluster, uint64_t count);
+
 /// Writes a job of equal tasks.
 void cluster_job(char *out, uint32_t out_bytes, uint32_t task_count,
                  uint32_t task_ms, uint32_t deadline_ms);
--- a/tests/support/http_server.c
+++ b/tests/support/http_server.c
@@ -179,6 +179,11 @@
         .lease_ms =
             lease_text == NULL ? 0 : (uint32_t)strtoul(lease_text, NULL, 10),
         .is_reused = conn->request_count > 0};
+    const char *try_text = find_header(conn->in, "Jt-Try: ");
+    if (try_text != NULL) {
+        snprintf(request.try_line, sizeof request.try_line, "Jt-Try: %.*s\r\n",
+                 (int)strcspn(try_text, "\r"), try_text);
+    }
     if (sscanf(conn->in, "%15s %511s", request.method, request.path) != 2) {
         server_close(conn);
         return false;
--- a/tests/support/http_server.h
+++ b/tests/support/http_server.h
@@ -18,8 +18,9 @@
     char path[kServerPathBytes]; ///< with its query
     const char *body;            ///< with a NUL after it
     uint32_t body_bytes;
-    uint32_t lease_ms; ///< header Jt-Lease-Ms, or 0
-    bool is_reused;    ///< not the first on its connection
+    char try_line[kServerPathBytes]; ///< header Jt-Try with its CRLF, or ""
+    uint32_t lease_ms;               ///< header Jt-Lease-Ms, or 0
+    bool is_reused;                  ///< not the first on its connection
 } server_request_t;
 
 /// Called with each request.
