--- /dev/null
+++ b/tests/unit/test_codec.c
@@ -0,0 +1,177 @@
+/// Tests of codec/pack and codec/json: what is written reads back; what is
+/// cut or altered is refused, never a crash.
+#include <apr_general.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "codec/json.h"
+#include "codec/pack.h"
+#include "generated/messages.h"
+#include "generated/settings.h"
+#include "support/suite.h"
+
+enum { kMutations = 20000, kMostBytes = 512 };
+
+static submit_message_t
+make_submit(task_document_t *tasks)
+{
+    tasks[0] = (task_document_t){
+        .kind = "quote",
+        .needs = {.processors = 2, .memory_mb = 3},
+        .idempotent = true,
+        .payload = {.data = (const uint8_t *)"p\0q", .size_bytes = 3}};
+    return (submit_message_t){
+        .request = 9,
+        .id = {.data = (const uint8_t *)"id", .size_bytes = 2},
+        .left_ms = 70000,
+        .job = {.team = "counter", .tasks = tasks, .tasks_count = 1}};
+}
+
+static void
+test_message(void)
+{
+    arena_t *arena = arena_create();
+    msgpack_sbuffer out;
+    error_info_t err = {0};
+    task_document_t tasks[1];
+    submit_message_t message = make_submit(tasks);
+    submit_message_t back;
+    msgpack_sbuffer_init(&out);
+    pack_write_message(&out, kMessageSubmit, &submit_message_desc, &message);
+    bytes_t data = {.data = (uint8_t *)out.data,
+                    .size_bytes = (uint32_t)out.size};
+    CU_ASSERT_EQUAL(pack_peek_type(data), kMessageSubmit);
+    CU_ASSERT_TRUE_FATAL(
+        pack_read_message(data, &submit_message_desc, arena, &back, &err));
+    CU_ASSERT_EQUAL(back.left_ms, 70000);
+    CU_ASSERT_STRING_EQUAL(back.job.team, "counter");
+    CU_ASSERT_EQUAL(back.job.tasks[0].needs.memory_mb, 3);
+    CU_ASSERT_EQUAL(back.job.tasks[0].payload.size_bytes, 3);
+    CU_ASSERT_TRUE(back.job.tasks[0].idempotent);
+    msgpack_sbuffer_destroy(&out);
+    arena_destroy(arena);
+}
+
+/// Random cuts and changes of a message.
+static void
+test_altered_messages(void)
+{
+    rng_t rng = {.state = 1};
+    task_document_t tasks[1];
+    submit_message_t message = make_submit(tasks);
+    msgpack_sbuffer out;
+    msgpack_sbuffer_init(&out);
+    pack_write_message(&out, kMessageSubmit, &submit_message_desc, &message);
+    for (uint32_t i = 0; i < kMutations; i++) {
+        uint8_t copy[kMostBytes];
+        submit_message_t back;
+        error_info_t err = {0};
+        arena_t *arena = arena_create();
+        memcpy(copy, out.data, out.size);
+        uint32_t size_bytes = 1 + rng_below(&rng, (uint32_t)out.size);
+        copy[rng_below(&rng, size_bytes)] = (uint8_t)rng_next(&rng);
+        bytes_t data = {.data = copy, .size_bytes = size_bytes};
+        bool is_read =
+            pack_read_message(data, &submit_message_desc, arena, &back, &err);
+        CU_ASSERT_FATAL(is_read || err.kind == kErrorKindProtocol);
+        arena_destroy(arena);
+    }
+    msgpack_sbuffer_destroy(&out);
+}
+
+static bool
+read_settings(const char *text, dispatch_settings_t *out, error_info_t *err)
+{
+    static arena_t *arena;
+    if (arena == NULL) {
+        arena = arena_create();
+    }
+    bytes_t bytes = {.data = (const uint8_t *)text,
+                     .size_bytes = (uint32_t)strlen(text)};
+    return json_read(bytes, &dispatch_settings_desc, kErrorKindBadSettings,
+                     arena, out, err);
+}
+
+static void
+test_settings(void)
+{
+    dispatch_settings_t settings;
+    error_info_t err = {0};
+    CU_ASSERT_TRUE_FATAL(read_settings(
+        "{ // where\n\"here\": {\"dc\": 1, \"vm\": 2, \"address\": \"::\"},"
+        "/* policy */ \"routing\": \"two_choices\"}",
+        &settings, &err));
+    CU_ASSERT_EQUAL(settings.routing, kRoutingTwoChoices);
+    CU_ASSERT_EQUAL(settings.shards, 2);
+}
+
+/// Each fault names the path, what was found and what is allowed.
+static void
+test_bad_settings(void)
+{
+    static const char here[] =
+        "{\"here\": {\"dc\": 1, \"vm\": 2, \"address\": \"a\"},";
+    static const struct {
+        const char *rest;
+        const char *text;
+    } cases[] = {
+        {"\"shards\": 0}",
+         "shards: found 0, allowed is a whole number from 1 to 64"},
+        {"\"shards\": \"2\"}", "shards: found \"2\""},
+        {"\"shards\": -1}", "shards: found -1"},
+        {"\"shard\": 1}", "shard: unknown key"},
+        {"\"routing\": \"best\"}",
+         "routing: found \"best\", allowed is one of random"},
+        {"\"port\": 70000}", "port: found 70000"},
+    };
+    for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char text[kMostBytes];
+        dispatch_settings_t settings;
+        error_info_t err = {0};
+        snprintf(text, sizeof text, "%s%s", here, cases[i].rest);
+        CU_ASSERT_FALSE(read_settings(text, &settings, &err));
+        CU_ASSERT_PTR_NOT_NULL(strstr(err.text, cases[i].text));
+        CU_ASSERT_EQUAL(err.kind, kErrorKindBadSettings);
+    }
+    dispatch_settings_t settings;
+    error_info_t err = {0};
+    CU_ASSERT_FALSE(read_settings("{}", &settings, &err));
+    CU_ASSERT_PTR_NOT_NULL(strstr(err.text, "here: found nothing"));
+}
+
+static void
+test_json_back(void)
+{
+    arena_t *arena = arena_create();
+    task_answer_t tasks[1] = {
+        {.state = kTaskStateDone,
+         .result = {.data = (const uint8_t *)"\"x\"", .size_bytes = 3}}};
+    job_answer_t answer = {.state = kJobStateComplete,
+                           .reason = "complete",
+                           .tasks = tasks,
+                           .tasks_count = 1};
+    job_answer_t back;
+    error_info_t err = {0};
+    const char *text = json_write(&job_answer_desc, &answer, arena);
+    bytes_t bytes = {.data = (const uint8_t *)text,
+                     .size_bytes = (uint32_t)strlen(text)};
+    CU_ASSERT_TRUE_FATAL(json_read(bytes, &job_answer_desc, kErrorKindProtocol,
+                                   arena, &back, &err));
+    CU_ASSERT_EQUAL(back.state, kJobStateComplete);
+    CU_ASSERT_EQUAL(memcmp(back.tasks[0].result.data, "\"x\"", 3), 0);
+    arena_destroy(arena);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"message", test_message},
+        {"altered messages", test_altered_messages},
+        {"settings", test_settings},
+        {"bad settings", test_bad_settings},
+        {"json", test_json_back},
+        CU_TEST_INFO_NULL};
+    apr_initialize();
+    return suite_run("codec", tests);
+}
--- /dev/null
+++ b/tests/unit/test_job.c
@@ -0,0 +1,146 @@
+/// Tests of core/job: its table of events, and random walks that check what
+/// must always hold.
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "core/job.h"
+#include "support/suite.h"
+
+enum { kMostTasks = 6, kWalks = 20000, kSteps = 40 };
+
+static task_t tasks[kMostTasks];
+static job_t job;
+
+static uint32_t
+apply(job_event_type_t type, uint32_t task, error_kind_t kind, bool may_retry)
+{
+    return job_apply(&job, &(job_event_t){.type = type,
+                                          .task = task,
+                                          .kind = kind,
+                                          .may_retry = may_retry});
+}
+
+static void
+test_complete(void)
+{
+    job_init(&job, tasks, 2, 100);
+    CU_ASSERT_EQUAL(apply(kJobEventTaskStart, 0, 0, false), 0);
+    CU_ASSERT_EQUAL(apply(kJobEventTaskStart, 1, 0, false), 0);
+    CU_ASSERT_EQUAL(apply(kJobEventTryDone, 1, 0, false), 0);
+    CU_ASSERT_EQUAL(apply(kJobEventTryDone, 0, 0, false), kJobActFinish);
+    CU_ASSERT_EQUAL(job.state, kJobStateComplete);
+    CU_ASSERT_EQUAL(apply(kJobEventCancel, 0, 0, false), kJobActIgnored);
+}
+
+static void
+test_retry(void)
+{
+    job_init(&job, tasks, 1, 100);
+    apply(kJobEventTaskStart, 0, 0, false);
+    CU_ASSERT_EQUAL(
+        apply(kJobEventTryNotRun, 0, kErrorKindTargetRefused, true),
+        kJobActRequeue);
+    apply(kJobEventTaskStart, 0, 0, false);
+    CU_ASSERT_EQUAL(
+        apply(kJobEventTryNotRun, 0, kErrorKindTargetRefused, false),
+        kJobActFinish);
+    CU_ASSERT_EQUAL(tasks[0].state, kTaskStateNotRun);
+    CU_ASSERT_EQUAL(tasks[0].try_count, 2);
+}
+
+static void
+test_failure_waits_for_started(void)
+{
+    job_init(&job, tasks, 3, 100);
+    apply(kJobEventTaskStart, 0, 0, false);
+    apply(kJobEventTaskStart, 1, 0, false);
+    CU_ASSERT_EQUAL(apply(kJobEventTryFailed, 0, kErrorKindTargetLost, false),
+                    kJobActDropWaiting);
+    CU_ASSERT_EQUAL(apply(kJobEventTaskStart, 2, 0, false), kJobActIgnored);
+    CU_ASSERT_EQUAL(apply(kJobEventTryDone, 1, 0, false), kJobActFinish);
+    CU_ASSERT_EQUAL(job.state, kJobStateFailed);
+    CU_ASSERT_EQUAL(job.kind, kErrorKindTargetLost);
+    CU_ASSERT_EQUAL(tasks[1].state, kTaskStateDone);
+    CU_ASSERT_EQUAL(tasks[2].state, kTaskStateNotRun);
+}
+
+static void
+test_deadline(void)
+{
+    job_init(&job, tasks, 2, 100);
+    apply(kJobEventTaskStart, 0, 0, false);
+    CU_ASSERT_EQUAL(apply(kJobEventDeadline, 0, 0, false),
+                    kJobActDropWaiting | kJobActStopTries | kJobActFinish);
+    CU_ASSERT_EQUAL(tasks[0].state, kTaskStateMayHaveRun);
+    CU_ASSERT_EQUAL(tasks[1].state, kTaskStateNotRun);
+    CU_ASSERT_EQUAL(apply(kJobEventTryDone, 0, 0, false), kJobActIgnored);
+}
+
+/// Checks a job against the starts that a walk counted.
+static void
+check_invariants(const uint32_t *ran, uint32_t task_count)
+{
+    uint32_t waiting = 0;
+    uint32_t started = 0;
+    for (uint32_t i = 0; i < task_count; i++) {
+        waiting += tasks[i].state == kTaskStateWaiting;
+        started += tasks[i].state == kTaskStateStarted;
+        CU_ASSERT_FATAL(ran[i] <= 1);
+        CU_ASSERT_FATAL(tasks[i].state != kTaskStateNotRun || ran[i] == 0);
+        CU_ASSERT_FATAL(job.state != kJobStateComplete ||
+                        tasks[i].state == kTaskStateDone);
+    }
+    CU_ASSERT_EQUAL_FATAL(waiting, job.waiting_count);
+    CU_ASSERT_EQUAL_FATAL(started, job.started_count);
+    if (job_is_ended(&job)) {
+        CU_ASSERT_EQUAL_FATAL(waiting + started, 0);
+    }
+}
+
+/// One random walk: at most one run a task, "not run" is true, and the counts
+/// agree, whatever the order of events.
+static void
+walk(rng_t *rng)
+{
+    uint32_t ran[kMostTasks] = {0};
+    uint32_t task_count = 1 + rng_below(rng, kMostTasks);
+    job_init(&job, tasks, task_count, 100);
+    for (uint32_t step = 0; step < kSteps; step++) {
+        job_event_type_t type = rng_below(rng, kJobEventCount);
+        uint32_t task = rng_below(rng, task_count);
+        bool is_out = tasks[task].state == kTaskStateStarted;
+        if ((type == kJobEventCancel || type == kJobEventDeadline) &&
+            rng_below(rng, 8) != 0) {
+            continue;
+        }
+        // A try that is out and does not end "not run" runs the task.
+        ran[task] +=
+            is_out && (type == kJobEventTryDone || type == kJobEventTryFailed);
+        apply(type, task, kErrorKindTargetLost, rng_below(rng, 2) == 0);
+        check_invariants(ran, task_count);
+    }
+    apply(kJobEventDeadline, 0, 0, false);
+    CU_ASSERT_TRUE(job_is_ended(&job));
+}
+
+static void
+test_walks(void)
+{
+    rng_t rng = {.state = 4711};
+    for (uint32_t i = 0; i < kWalks; i++) {
+        walk(&rng);
+    }
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"complete", test_complete},
+        {"retry", test_retry},
+        {"failure waits for started tasks", test_failure_waits_for_started},
+        {"deadline", test_deadline},
+        {"random walks", test_walks},
+        CU_TEST_INFO_NULL};
+    return suite_run("job", tests);
+}
--- /dev/null
+++ b/tests/unit/test_mint.c
@@ -0,0 +1,79 @@
+/// Tests of core/mint.
+#include "core/mint.h"
+#include "support/suite.h"
+
+enum { kMany = 1000 };
+
+static const incarnation_t home = {.dc = 1, .vm = 2, .nonce = 3};
+static const uint8_t secret[kJobIdSecretBytes] = {7};
+
+static void
+test_life_of_an_id(void)
+{
+    mint_t *mint = mint_create(&home, secret, 1, 4);
+    job_id_t id;
+    void *job = NULL;
+    int record = 0;
+    int64_t start_by_ns = mint_take(mint, 1, 1000, 500, &id);
+    CU_ASSERT_EQUAL(start_by_ns, 1500);
+    CU_ASSERT_EQUAL(id.sequence % 4, 1);
+    CU_ASSERT_EQUAL(mint_judge(mint, &id, 1499, &job), kMintFresh);
+    CU_ASSERT_EQUAL(mint_judge(mint, &id, 1500, &job), kMintExpired);
+    mint_submit(mint, id.sequence, &record);
+    CU_ASSERT_EQUAL(mint_judge(mint, &id, 9999, &job), kMintHeld);
+    CU_ASSERT_PTR_EQUAL(job, &record);
+    mint_forget(mint, id.sequence);
+    CU_ASSERT_EQUAL(mint_judge(mint, &id, 1001, &job), kMintForgotten);
+    mint_destroy(mint);
+}
+
+static void
+test_not_minted(void)
+{
+    mint_t *mint = mint_create(&home, secret, 0, 1);
+    job_id_t id;
+    void *job = NULL;
+    mint_take(mint, 1, 0, 100, &id);
+    job_id_t next = id;
+    next.sequence++;
+    job_id_sign(&next, secret);
+    CU_ASSERT_EQUAL(mint_judge(mint, &next, 0, &job), kMintUnknown);
+    job_id_t forged = id;
+    forged.mac[0] ^= 1;
+    CU_ASSERT_EQUAL(mint_judge(mint, &forged, 0, &job), kMintUnknown);
+    job_id_t foreign = id;
+    foreign.home.nonce++;
+    job_id_sign(&foreign, secret);
+    CU_ASSERT_EQUAL(mint_judge(mint, &foreign, 0, &job), kMintUnknown);
+    mint_destroy(mint);
+}
+
+/// A block that is no longer minted from keeps its deadline: ids that expired
+/// never become fresh again.
+static void
+test_expired_for_good(void)
+{
+    mint_t *mint = mint_create(&home, secret, 0, 1);
+    job_id_t old;
+    job_id_t fresh[kMany];
+    void *job = NULL;
+    mint_take(mint, 1, 0, 100, &old);
+    mint_take(mint, kMany, 200, 100, fresh);
+    CU_ASSERT_EQUAL(mint_judge(mint, &old, 201, &job), kMintExpired);
+    for (uint32_t i = 0; i < kMany; i++) {
+        CU_ASSERT_EQUAL(mint_judge(mint, &fresh[i], 201, &job), kMintFresh);
+    }
+    CU_ASSERT_EQUAL(mint_last_start_by_ns(mint), 300);
+    mint_destroy(mint);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"life of an id", test_life_of_an_id},
+        {"not minted", test_not_minted},
+        {"expired for good", test_expired_for_good},
+        CU_TEST_INFO_NULL};
+    return suite_run("mint", tests);
+}
--- /dev/null
+++ b/tests/unit/test_target.c
@@ -0,0 +1,110 @@
+/// Tests of route/target.
+#include "route/target.h"
+#include "support/suite.h"
+
+enum { kTargets = 10, kNow = 1000 };
+
+static vm_entry_t vms[kTargets + 3];
+static target_table_t *table;
+
+static target_table_t *
+build(const target_table_t *old, uint32_t entry_vm)
+{
+    for (uint32_t i = 0; i < kTargets + 3; i++) {
+        bool is_entry = i >= kTargets;
+        vms[i] = (vm_entry_t){.vm = i + 1,
+                              .dc = 1,
+                              .role = is_entry ? kVmRoleEntry : kVmRoleTarget,
+                              .address = "127.0.0.1",
+                              .port = 9000,
+                              .slots = 8,
+                              .processors = 4,
+                              .memory_mb = 100};
+    }
+    return target_table_build(old, vms, kTargets + 3, 1, entry_vm, 30);
+}
+
+/// Takes a target through one try.
+static void
+run_try(target_t *target, target_sign_t sign)
+{
+    CU_ASSERT_TRUE_FATAL(target_reserve(target, kNow));
+    target_release(target, table, sign, 0, 100, kNow);
+}
+
+/// The shares of the entry VMs add up to the slots.
+static void
+test_shares(void)
+{
+    for (uint32_t target = 0; target < kTargets; target++) {
+        uint32_t sum = 0;
+        for (uint32_t entry = 0; entry < 3; entry++) {
+            table = build(NULL, kTargets + 1 + entry);
+            sum += table->targets[target]->share_slots;
+            target_table_free(table);
+        }
+        CU_ASSERT_EQUAL(sum, 8);
+    }
+}
+
+/// A target on trial gets one task at a time; a proved one all its slots; a
+/// full one only the own share, for a while.
+static void
+test_limits(void)
+{
+    table = build(NULL, kTargets + 1);
+    target_t *target = table->targets[0];
+    CU_ASSERT_TRUE(target_reserve(target, kNow));
+    CU_ASSERT_FALSE(target_reserve(target, kNow));
+    target_release(target, table, kSignDone, 0, 100, kNow);
+    for (uint32_t i = 0; i < 8; i++) {
+        CU_ASSERT_TRUE(target_reserve(target, kNow));
+    }
+    CU_ASSERT_FALSE(target_reserve(target, kNow));
+    target_release(target, table, kSignRefused, 0, 0, kNow);
+    CU_ASSERT_FALSE(target_is_open(target, kNow + 1));
+    CU_ASSERT_TRUE(target_is_open(target, kNow + INT64_C(10000000000)));
+    for (uint32_t i = 0; i < 7; i++) {
+        target_release(target, table, kSignNone, 0, 0, kNow);
+    }
+    target_table_free(table);
+}
+
+/// Targets that fail are ejected, but only up to the cap.
+static void
+test_ejection_cap(void)
+{
+    table = build(NULL, kTargets + 1);
+    uint32_t ejected = 0;
+    for (uint32_t i = 0; i < kTargets; i++) {
+        run_try(table->targets[i], kSignFailed);
+        ejected += !target_is_open(table->targets[i], kNow + 1);
+    }
+    CU_ASSERT_EQUAL(ejected, 3);
+    target_table_free(table);
+}
+
+static void
+test_leaving(void)
+{
+    table = build(NULL, kTargets + 1);
+    run_try(table->targets[0], kSignLeaving);
+    CU_ASSERT_FALSE(target_is_open(table->targets[0], kNow + 1));
+    target_table_t *next = build(table, kTargets + 1);
+    CU_ASSERT_PTR_EQUAL(next->targets[0], table->targets[0]);
+    target_table_free(table);
+    // The list lags behind the target's own word.
+    CU_ASSERT_FALSE(target_is_open(next->targets[0], kNow + 1));
+    target_table_free(next);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {{"shares", test_shares},
+                                        {"limits", test_limits},
+                                        {"ejection cap", test_ejection_cap},
+                                        {"leaving", test_leaving},
+                                        CU_TEST_INFO_NULL};
+    return suite_run("target", tests);
+}
--- /dev/null
+++ b/tests/unit/test_team.c
@@ -0,0 +1,98 @@
+/// Tests of limit/team and limit/admission.
+#include "limit/admission.h"
+#include "limit/team.h"
+#include "support/suite.h"
+
+#define SECOND INT64_C(1000000000)
+
+static void
+test_rate_is_kept(void)
+{
+    team_t *team = team_create("counter");
+    section_document_t section = {
+        .quota = {.tasks_per_s = 100, .burst_tasks = 10}};
+    int64_t retry_at_ns = 0;
+    uint32_t taken = 0;
+    team_set(team, &section, 1);
+    for (int64_t now_ns = 0; now_ns < 10 * SECOND; now_ns += SECOND / 1000) {
+        taken += team_charge(team, 1, now_ns, &retry_at_ns) ? 1 : 0;
+    }
+    CU_ASSERT(taken >= 1000);
+    CU_ASSERT(taken <= 1010);
+    team_drop(team);
+}
+
+/// A job larger than the burst passes when nothing is owed, and is paid for.
+static void
+test_large_job(void)
+{
+    team_t *team = team_create("counter");
+    section_document_t section = {
+        .quota = {.tasks_per_s = 100, .burst_tasks = 10}};
+    int64_t retry_at_ns = 0;
+    team_set(team, &section, 1);
+    CU_ASSERT_TRUE(team_charge(team, 500, SECOND, &retry_at_ns));
+    CU_ASSERT_FALSE(team_charge(team, 1, SECOND, &retry_at_ns));
+    CU_ASSERT_FALSE(team_charge(team, 1, 5 * SECOND, &retry_at_ns));
+    CU_ASSERT_TRUE(team_charge(team, 1, retry_at_ns, &retry_at_ns));
+    team_drop(team);
+}
+
+static void
+test_shares(void)
+{
+    team_t *team = team_create("counter");
+    section_document_t section = {.quota = {.tasks_per_s = 100}};
+    int64_t retry_at_ns = 0;
+    uint32_t taken = 0;
+    team_set(team, &section, 4);
+    for (int64_t now_ns = SECOND; now_ns < 11 * SECOND;
+         now_ns += SECOND / 1000) {
+        taken += team_charge(team, 1, now_ns, &retry_at_ns) ? 1 : 0;
+    }
+    CU_ASSERT(taken >= 250);
+    CU_ASSERT(taken <= 275);
+    team_drop(team);
+}
+
+static admission_query_t
+make_query(void)
+{
+    return (admission_query_t){.is_team_known = true,
+                               .do_tasks_fit = true,
+                               .task_count = 10,
+                               .waiting_count = 0,
+                               .waiting_limit = 100,
+                               .slot_count = 10,
+                               .service_ns = SECOND,
+                               .left_ns = 5 * SECOND};
+}
+
+static void
+test_admission(void)
+{
+    admission_query_t query = make_query();
+    CU_ASSERT_EQUAL(admission_decide(&query), kErrorKindOk);
+    query.is_team_known = false;
+    CU_ASSERT_EQUAL(admission_decide(&query), kErrorKindUnknownTeam);
+    query = make_query();
+    query.do_tasks_fit = false;
+    CU_ASSERT_EQUAL(admission_decide(&query), kErrorKindNoFit);
+    query = make_query();
+    query.waiting_count = 95;
+    CU_ASSERT_EQUAL(admission_decide(&query), kErrorKindOverload);
+    query = make_query();
+    query.waiting_count = 50;
+    CU_ASSERT_EQUAL(admission_decide(&query), kErrorKindDeadlineUnmet);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {{"rate", test_rate_is_kept},
+                                        {"large job", test_large_job},
+                                        {"shares", test_shares},
+                                        {"admission", test_admission},
+                                        CU_TEST_INFO_NULL};
+    return suite_run("limits", tests);
+}
