fix(front): give up a link whose hello does not come

Problem: a link that was opened while its data centre was cut off stayed half open after the cut: its hello was lost, nothing was outstanding that would have been probed, and every call queued on it until the reach limit (test_silence, 'cut off data centre', red before). Solution: the silence timer also runs until the hello has come.

--- a/src/front/home.c
+++ b/src/front/home.c
@@ -450,7 +450,10 @@
     if (home->conn == NULL) {
         loop_timer_set(home->relay->loop, &home->retry,
                        clock_deadline_ns(kRetryIdleMaxMs));
+        return;
     }
+    loop_timer_set(home->relay->loop, &home->silence,
+                   clock_deadline_ns(settings->silence_limit_ms));
 }
 
 static void
@@ -463,12 +466,13 @@
 }
 
 /// Probes a link with calls outstanding that has been silent; ends it after
-/// twice the limit, so that the calls go out over a new one.
+/// twice the limit, so that the calls go out over a new one. The same holds
+/// for a link whose hello does not come.
 static void
 on_silence(loop_timer_t *timer)
 {
     home_t *home = timer->owner;
-    if (home->conn == NULL || home->sent == NULL) {
+    if (home->conn == NULL || (home->is_ready && home->sent == NULL)) {
         return;
     }
     int64_t limit_ns =
@@ -479,7 +483,7 @@
         conn_close(home->conn);
         return;
     }
-    if (now_ns - home->conn->heard_ns >= limit_ns) {
+    if (home->is_ready && now_ns - home->conn->heard_ns >= limit_ns) {
         ping_message_t ping = {.number = 1};
         conn_send(home->conn, kMessagePing, &ping);
     }
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -15,6 +15,7 @@
     kHeaderBytes = 4,
     kFirstBufferBytes = 16 * 1024,
     kSilenceLimitMs = 10000, ///< of a connection with bytes unacknowledged
+    kKeepaliveIdleS = 60,    ///< idle time before the kernel probes
 };
 
 static void
@@ -206,6 +207,8 @@
     apr_socket_opt_set(socket, APR_SO_KEEPALIVE, 1);
     apr_os_sock_get(&fd, socket);
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+    int32_t idle_s = kKeepaliveIdleS;
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
 }
 
 static conn_t *
--- /dev/null
+++ b/tests/functional/test_silence.c
@@ -0,0 +1,134 @@
+/// Connections that something between the ends has lost track of, and a data
+/// centre that is cut off.
+#include <apr_general.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/suite.h"
+
+enum { kJobBytes = 4096, kTasks = 4 };
+
+static cluster_t cluster;
+
+static void
+run_job(uint32_t vm, uint32_t task_ms, uint32_t deadline_ms,
+        caller_request_t *request)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    cluster_job(job, sizeof job, kTasks, task_ms, deadline_ms);
+    cluster_mint(&cluster, vm, id);
+    cluster_submit(&cluster, vm, id, job, request);
+}
+
+static void
+check_ledger(void)
+{
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "doubled"), 0);
+}
+
+static bool
+does_job_complete(void *state)
+{
+    caller_request_t request;
+    (void)state;
+    run_job(0, 5, 3000, &request);
+    bool is_complete = request.status == 200;
+    caller_free(&request, 1);
+    return is_complete;
+}
+
+/// The link between front and dispatcher goes silent while a job runs: the
+/// front finds out, asks again over a new one, and the answer is whole.
+static void
+test_forgotten_link(void)
+{
+    static char job[kJobBytes];
+    char id[kCallerIdBytes];
+    caller_request_t request;
+    caller_batch_t batch;
+    cluster_wait(does_job_complete, NULL, "a job completes");
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_job(job, sizeof job, kTasks, 300, 20000);
+    cluster_mint(&cluster, 0, id);
+    cluster_fill_submit(&cluster, 1, id, job, &request);
+    caller_start(&batch, &request, 1);
+    cluster_wait_starts(&cluster, before + kTasks);
+    cluster_set_middle(&cluster, "forget=1");
+    caller_join(&batch);
+    // The connections to targets went silent too: their outcome is unknown.
+    CU_ASSERT(request.status == 200 || request.status == 502 ||
+              request.status == 504);
+    CU_ASSERT_FALSE(request.is_not_run);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before + kTasks);
+    caller_free(&request, 1);
+    check_ledger();
+}
+
+/// Idle connections go silent; jobs after that end by their deadline, and
+/// soon complete again.
+static void
+test_forgotten_when_idle(void)
+{
+    caller_request_t request;
+    cluster_wait(does_job_complete, NULL, "a job completes");
+    cluster_set_middle(&cluster, "forget=1");
+    run_job(0, 5, 1500, &request);
+    CU_ASSERT(request.status == 200 || request.status == 504);
+    caller_free(&request, 1);
+    cluster_wait(does_job_complete, NULL, "jobs complete again");
+    check_ledger();
+}
+
+/// A data centre that is cut off serves its own callers on; ids of the other
+/// side are unknown there, not lost; after the cut all is as before.
+static void
+test_cut(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_wait(does_job_complete, NULL, "a job completes");
+    cluster_job(job, sizeof job, kTasks, 5, 10000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    cluster_set_middle(&cluster, "cut=2");
+    for (uint32_t vm = 0; vm < 2; vm++) {
+        run_job(vm, 5, 10000, &request);
+        CU_ASSERT_EQUAL(request.status, 200);
+        caller_free(&request, 1);
+    }
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_submit(&cluster, 1, id, job, &request);
+    CU_ASSERT_EQUAL(request.status, 503);
+    CU_ASSERT(caller_has(&request, "\"kind\":\"home_unreachable\""));
+    caller_free(&request, 1);
+    cluster_set_middle(&cluster, "cut=0");
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &request), 200);
+    caller_free(&request, 1);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+    check_ledger();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"forgotten link", test_forgotten_link},
+        {"forgotten when idle", test_forgotten_when_idle},
+        {"cut off data centre", test_cut},
+        CU_TEST_INFO_NULL};
+    apr_initialize();
+    cluster_start(
+        &cluster,
+        &(cluster_options_t){.dcs = 2,
+                             .has_middle = true,
+                             .dispatch_settings = "\"lease_limit_ms\": 1000,",
+                             .front_settings = "\"silence_limit_ms\": 200,"
+                                               "\"reach_limit_ms\": 1000,"
+                                               "\"wait_limit_ms\": 3000,"});
+    int code = suite_run("silence", tests);
+    cluster_end(&cluster);
+    return code;
+}
--- /dev/null
+++ b/tests/functional/test_stop.c
@@ -0,0 +1,196 @@
+/// Planned stops: a rolling restart under load cuts off no request, a late
+/// resubmission still gets its answer, a leaving target gets no new work.
+#include <apr_general.h>
+#include <apr_thread_proc.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/cluster.h"
+#include "support/suite.h"
+
+enum { kJobBytes = 4096, kTasks = 3, kLoads = 4 };
+
+static cluster_t cluster;
+static _Atomic bool is_front_serving[kClusterVms]; ///< as a balancer sees it
+static _Atomic bool is_load_over;
+static _Atomic uint32_t done_count;
+static _Atomic uint32_t broken_count;
+static _Atomic uint32_t failed_count;
+
+/// Submits jobs one after another through fronts that serve, as callers
+/// behind a balancer do.
+static void *APR_THREAD_FUNC
+run_load(apr_thread_t *thread, void *owner)
+{
+    (void)thread;
+    uint32_t turn = (uint32_t)(uintptr_t)owner;
+    char job[kJobBytes];
+    cluster_job(job, sizeof job, kTasks, 30, 20000);
+    while (!atomic_load(&is_load_over)) {
+        uint32_t vm = turn++ % cluster.vm_count;
+        if (!atomic_load(&is_front_serving[vm])) {
+            continue;
+        }
+        char id[kCallerIdBytes];
+        caller_request_t request;
+        caller_ask(&request, "POST", "", "http://%s:8080/v1/jobs",
+                   cluster.vms[vm].address);
+        bool is_minted = request.status == 307;
+        if (is_minted) {
+            snprintf(id, sizeof id, "%s", strrchr(request.location, '/') + 1);
+            caller_free(&request, 1);
+            cluster_submit(&cluster, vm, id, job, &request);
+        }
+        atomic_fetch_add(&broken_count, request.status == 0);
+        atomic_fetch_add(&failed_count,
+                         request.status != 0 && request.status != 200);
+        if (request.status != 0 && request.status != 200) {
+            fprintf(stderr, "failed: %u %.300s\n", request.status,
+                    request.reply == NULL ? "" : request.reply);
+        }
+        atomic_fetch_add(&done_count, request.status == 200);
+        caller_free(&request, 1);
+    }
+    return NULL;
+}
+
+static bool
+has_progressed(void *state)
+{
+    return atomic_load(&done_count) >= *(uint32_t *)state;
+}
+
+/// Waits until the load got some more answers.
+static void
+wait_for_load(void)
+{
+    uint32_t goal = atomic_load(&done_count) + 20;
+    cluster_wait(has_progressed, &goal, "the load goes on");
+}
+
+/// Stops a part gracefully and starts it again.
+static void
+restart_part(uint32_t vm, part_t part)
+{
+    if (part == kPartFront) {
+        atomic_store(&is_front_serving[vm], false);
+    }
+    cluster_signal(&cluster, vm, part, SIGTERM);
+    CU_ASSERT_EQUAL(cluster_join_part(&cluster, vm, part), 0);
+    cluster_start_part(&cluster, vm, part);
+    cluster_wait_ready(&cluster, vm);
+    atomic_store(&is_front_serving[vm], true);
+    wait_for_load();
+}
+
+static void
+test_rolling_restart(void)
+{
+    apr_pool_t *pool = NULL;
+    apr_thread_t *threads[kLoads];
+    apr_status_t status = APR_SUCCESS;
+    apr_pool_create(&pool, NULL);
+    for (uint32_t i = 0; i < cluster.vm_count; i++) {
+        atomic_store(&is_front_serving[i], true);
+    }
+    for (uint32_t i = 0; i < kLoads; i++) {
+        apr_thread_create(&threads[i], NULL, run_load, (void *)(uintptr_t)i,
+                          pool);
+    }
+    wait_for_load();
+    for (uint32_t vm = 0; vm < cluster.vm_count; vm++) {
+        for (part_t part = 0; part < kPartCount; part++) {
+            restart_part(vm, part);
+        }
+    }
+    atomic_store(&is_load_over, true);
+    for (uint32_t i = 0; i < kLoads; i++) {
+        apr_thread_join(&status, threads[i]);
+    }
+    CU_ASSERT_EQUAL(atomic_load(&broken_count), 0);
+    CU_ASSERT_EQUAL(atomic_load(&failed_count), 0);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "doubled"), 0);
+    apr_pool_destroy(pool);
+}
+
+/// The answer of a home that stopped is got from the peer that took its
+/// records; another body is still a conflict; nothing starts again.
+static void
+test_answer_after_stop(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t first;
+    caller_request_t again;
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &first), 200);
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_signal(&cluster, 0, kPartDispatch, SIGTERM);
+    CU_ASSERT_EQUAL(cluster_join_part(&cluster, 0, kPartDispatch), 0);
+    cluster_start_part(&cluster, 0, kPartDispatch);
+    cluster_wait_ready(&cluster, 0);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &again), 200);
+    CU_ASSERT_STRING_EQUAL_FATAL(first.reply, again.reply);
+    caller_free(&again, 1);
+    caller_ask(&again, "GET", NULL, "http://%s:8080/v1/jobs/%s",
+               cluster.vms[0].address, id);
+    CU_ASSERT_STRING_EQUAL(first.reply, again.reply);
+    caller_free(&again, 1);
+    cluster_job(job, sizeof job, kTasks + 1, 5, 20000);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &again), 409);
+    caller_free(&again, 1);
+    caller_free(&first, 1);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+}
+
+/// A target that says it is leaving gets no new work, though the list still
+/// calls it live.
+static void
+test_leaving_target(void)
+{
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_set_targets(&cluster, 1, "runner=0&leaving=1");
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    for (uint32_t i = 0; i < 10; i++) {
+        char id[kCallerIdBytes];
+        cluster_mint(&cluster, 0, id);
+        CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+        caller_free(&request, 1);
+    }
+    // At most one request of each shard that had not heard of it.
+    caller_ask(&request, "GET", NULL,
+               "http://127.%u.101.1:9001/standin/ledger", cluster.net);
+    CU_ASSERT(caller_number(&request, "refused") <= 40);
+    caller_free(&request, 1);
+    uint64_t refused = cluster_ledger(&cluster, "refused");
+    for (uint32_t i = 0; i < 10; i++) {
+        char id[kCallerIdBytes];
+        cluster_mint(&cluster, 0, id);
+        CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+        caller_free(&request, 1);
+    }
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "refused"), refused);
+    cluster_set_targets(&cluster, 1, "runner=0&leaving=0");
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"rolling restart under load", test_rolling_restart},
+        {"answer after a stop", test_answer_after_stop},
+        {"leaving target", test_leaving_target},
+        CU_TEST_INFO_NULL};
+    apr_initialize();
+    cluster_start(&cluster, &(cluster_options_t){
+                                .vms = 2,
+                                .targets = 4,
+                                .dispatch_settings = "\"start_by_ms\": 500,",
+                                .front_settings = "\"quiet_ms\": 100,"});
+    int code = suite_run("stop", tests);
+    cluster_end(&cluster);
+    return code;
+}
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -62,6 +62,16 @@
     apr_file_close(log);
 }
 
+/// @return the address that the list of VMs gives for an entry VM
+static const char *
+listed_address(cluster_t *cluster, const cluster_vm_t *vm)
+{
+    return cluster->options.has_middle
+               ? apr_psprintf(cluster->pool, "127.%u.%u.%u", cluster->net,
+                              50 + vm->dc, vm->number % 10)
+               : vm->address;
+}
+
 static void
 write_settings(cluster_t *cluster, const cluster_vm_t *vm, part_t part)
 {
@@ -74,14 +84,14 @@
     FILE *file = fopen(path, "w");
     fprintf(file, "{%s", further[part] == NULL ? "" : further[part]);
     if (part == kPartAgent) {
-        fprintf(file, "\"platform_url\": \"http://127.%u.0.1:7300\",",
-                cluster->net);
+        fprintf(file, "\"platform_url\": \"http://127.%u.0.%u:7300\",",
+                cluster->net, cluster->options.has_middle ? 10 + vm->dc : 1);
         fprintf(file, "\"poll_ms\": 50, \"peers\": [");
         bool is_first = true;
         for (uint32_t i = 0; i < cluster->vm_count; i++) {
             if (cluster->vms[i].number != vm->number) {
                 fprintf(file, "%s{\"address\": \"%s\"}", is_first ? "" : ",",
-                        cluster->vms[i].address);
+                        listed_address(cluster, &cluster->vms[i]));
                 is_first = false;
             }
         }
@@ -148,7 +158,7 @@
                        "{\"vm\":%u,\"dc\":%u,\"role\":\"entry\","
                        "\"state\":\"%s\",\"address\":\"%s\"},",
                        vm->number, vm->dc, i == leaving ? "leaving" : "live",
-                       vm->address);
+                       listed_address(cluster, vm));
     }
     for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
         for (uint32_t i = 0; i < cluster->options.targets; i++) {
@@ -156,8 +166,9 @@
                            "{\"vm\":%u,\"dc\":%u,\"role\":\"target\","
                            "\"address\":\"127.%u.%u.%u\",\"port\":9000,"
                            "\"slots\":%u},",
-                           dc * 1000 + i, dc, cluster->net, 100 + dc, i + 1,
-                           cluster->options.slots);
+                           dc * 1000 + i, dc, cluster->net,
+                           (cluster->options.has_middle ? 150 : 100) + dc,
+                           i + 1, cluster->options.slots);
         }
     }
     body[at - 1] = ']';
@@ -174,6 +185,15 @@
     caller_free(&request, 1);
 }
 
+void
+cluster_set_middle(cluster_t *cluster, const char *query)
+{
+    caller_request_t request;
+    caller_ask(&request, "POST", "", "http://127.%u.0.2:7301/standin/set?%s",
+               cluster->net, query);
+    caller_free(&request, 1);
+}
+
 void
 cluster_set_targets(cluster_t *cluster, uint32_t dc, const char *query)
 {
@@ -324,6 +344,40 @@
     cluster_wait(is_platform_up, cluster, "the platform serves");
 }
 
+/// Starts what lies between the processes.
+static void
+start_middle(cluster_t *cluster)
+{
+    const char *arguments[64];
+    uint32_t count = 0;
+    uint32_t net = cluster->net;
+    apr_pool_t *pool = cluster->pool;
+    arguments[count++] =
+        apr_pstrcat(pool, build_folder(), "/standin-middle", NULL);
+    arguments[count++] = "--control";
+    arguments[count++] = apr_psprintf(pool, "127.%u.0.2:7301", net);
+    for (uint32_t i = 0; i < cluster->vm_count; i++) {
+        const cluster_vm_t *vm = &cluster->vms[i];
+        for (uint32_t port = 7401; port <= 7402; port++) {
+            arguments[count++] = apr_psprintf(pool, "%s:%u=%s:%u@%u",
+                                              listed_address(cluster, vm),
+                                              port, vm->address, port, vm->dc);
+        }
+    }
+    for (uint32_t dc = 1; dc <= cluster->options.dcs; dc++) {
+        arguments[count++] =
+            apr_psprintf(pool, "127.%u.0.%u:7300=127.%u.0.1:7300@%u", net,
+                         10 + dc, net, dc);
+        for (uint32_t i = 1; i <= cluster->options.targets; i++) {
+            arguments[count++] =
+                apr_psprintf(pool, "127.%u.%u.%u:9000=127.%u.%u.%u:9000@%u",
+                             net, 150 + dc, i, net, 100 + dc, i, dc);
+        }
+    }
+    arguments[count] = NULL;
+    spawn(cluster, &cluster->middle, "middle", arguments);
+}
+
 static void
 set_defaults(cluster_options_t *options)
 {
@@ -361,6 +415,9 @@
     cluster->net = 100 + (uint32_t)getpid() % 128;
     start_standins(cluster);
     place_vms(cluster);
+    if (cluster->options.has_middle) {
+        start_middle(cluster);
+    }
     cluster_list_vms(cluster, UINT32_MAX, UINT32_MAX);
     publish_teams(cluster);
     for (uint32_t i = 0; i < cluster->vm_count; i++) {
@@ -394,6 +451,9 @@
         }
     }
     end_process(&cluster->platform);
+    if (cluster->options.has_middle) {
+        end_process(&cluster->middle);
+    }
     for (uint32_t dc = 0; dc < cluster->options.dcs; dc++) {
         end_process(&cluster->targets[dc]);
     }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -22,6 +22,7 @@
     uint32_t vms;                  ///< entry VMs of each, 1 by default
     uint32_t targets;              ///< targets of each, 2 by default
     uint32_t slots;                ///< slots of a target, 8 by default
+    bool has_middle;               ///< connections go through standin-middle
     const char *dispatch_settings; ///< further settings, each before a comma
     const char *front_settings;
     const char *agent_settings;
@@ -44,6 +45,7 @@
     uint32_t net; ///< second number of all addresses
     apr_proc_t platform;
     apr_proc_t targets[kClusterDcs];
+    apr_proc_t middle;
     cluster_vm_t vms[kClusterDcs * kClusterVms];
     uint32_t vm_count;
 } cluster_t;
@@ -81,6 +83,9 @@
 /// Sets the platform stand-in, such as "outage=1".
 void cluster_set_platform(cluster_t *cluster, const char *query);
 
+/// Sets what lies between the processes, such as "forget=1" or "cut=2".
+void cluster_set_middle(cluster_t *cluster, const char *query);
+
 /// Sets the targets of a data centre, such as "runner=0&mode=close".
 void cluster_set_targets(cluster_t *cluster, uint32_t dc, const char *query);
 
