--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,67 @@
+#!/bin/sh
+# Checks the models exhaustively, then each mutant, which must fail.
+# Prints states and depth; exits 0 only where all is as it must be.
+set -eu
+cd "$(dirname "$0")"
+out=out
+rm -rf "$out"
+mkdir -p "$out"
+failures=0
+
+# run NAME MODEL DEFINES: builds and runs one verifier; leaves NAME.log
+run() {
+    dir="$out/$1"
+    mkdir -p "$dir"
+    defines=$3
+    # shellcheck disable=SC2086
+    (cd "$dir" && spin -a $defines "../../$2" >spin.log 2>&1 &&
+        gcc -O2 -w -DSAFETY -DNOFAIR -DVECTORSZ=4096 -DCOLLAPSE $defines \
+            -I../../../src -o pan pan.c ../../../src/core/job.c >gcc.log 2>&1 &&
+        ./pan -E -m2000000 -w26 >pan.log 2>&1) || true
+    if [ ! -f "$dir/pan.log" ]; then
+        echo "$1: did not build"
+        cat "$dir"/*.log
+        exit 1
+    fi
+}
+
+# holds NAME MODEL: no error, and the whole space searched
+holds() {
+    run "$1" "$2" "${3:-}"
+    log="$out/$1/pan.log"
+    states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$log" | head -1)
+    depth=$(sed -n 's/.*depth reached \([0-9]*\), errors.*/\1/p' "$log")
+    if grep -q 'errors: 0' "$log" && ! grep -q 'max search depth too small' "$log"; then
+        echo "$1: holds, $states states, depth $depth"
+    else
+        echo "$1: VIOLATED"
+        grep -E 'assert|error' "$log" || true
+        failures=$((failures + 1))
+    fi
+}
+
+# caught NAME MODEL MUTANT: the checker must find it
+caught() {
+    run "$1-$3" "$2" "-D$3"
+    if grep -q 'errors: 1' "$out/$1-$3/pan.log"; then
+        echo "$1 $3: caught"
+    else
+        echo "$1 $3: NOT CAUGHT"
+        failures=$((failures + 1))
+    fi
+}
+
+# ASKS: requests of callers in one run; JT_ASKS=4 takes minutes.
+holds home home.pml "-DASKS=${JT_ASKS:-3}"
+for mutant in M_INCARNATION M_EXPIRED M_REFUSAL M_SECOND_PASS M_DROP_BIT \
+    M_EARLY_STOP M_GUESS_NOT_RUN M_PEER_STARTS; do
+    caught home home.pml $mutant
+done
+holds config config.pml
+for mutant in M_BASE M_GAP M_OLDER_PEER; do
+    caught config config.pml $mutant
+done
+holds job job.pml
+caught job job.pml M_RETRY_UNKNOWN
+[ "$failures" = 0 ] || exit 1
+echo "models: all as they must be"
--- /dev/null
+++ b/src/load/virtual.c
@@ -0,0 +1,220 @@
+#include "load/virtual.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/heap.h"
+#include "core/job.h"
+#include "queue/waiting.h"
+#include "route/route.h"
+#include "shell/clock.h"
+
+enum { kStragglerFactor = 10, kPercent = 100 };
+
+/// A job of the run.
+typedef struct {
+    workload_job_t drawn;
+    job_t job;
+    task_t tasks[kWorkloadTasks];
+    uint32_t places[kWorkloadTasks];
+    waiting_part_t part;
+    int64_t came_ns;
+} virtual_job_t;
+
+/// A task that runs until its node's time.
+typedef struct {
+    heap_node_t node;
+    virtual_job_t *job;
+    uint32_t task;
+    target_t *target;
+    int64_t started_ns;
+} virtual_try_t;
+
+/// A run.
+typedef struct {
+    const virtual_t *options;
+    const load_t *load;
+    load_result_t *result;
+    target_table_t *table;
+    uint32_t *speed_percent; ///< by target's VM number
+    waiting_t *waiting;
+    heap_t running;
+    rng_t rng;
+    int64_t now_ns;
+    uint64_t decision_count;
+} run_t;
+
+static const needs_t any_needs = {.processors = 1};
+
+static void
+build_targets(run_t *run)
+{
+    uint32_t count = run->options->target_count;
+    vm_entry_t *vms = calloc(count, sizeof *vms);
+    run->speed_percent = calloc(count + 1, sizeof(uint32_t));
+    for (uint32_t i = 0; i < count; i++) {
+        vms[i] = (vm_entry_t){.vm = i + 1,
+                              .dc = 1,
+                              .role = kVmRoleTarget,
+                              .address = "127.0.0.1",
+                              .port = (uint16_t)(i + 1),
+                              .slots = run->options->slots,
+                              .processors = 32,
+                              .memory_mb = 65536};
+        uint32_t step =
+            count > 1 ? i * kPercent * (run->options->spread - 1) / (count - 1)
+                      : 0;
+        run->speed_percent[i + 1] = kPercent + step;
+    }
+    run->table = target_table_build(NULL, vms, count, 1, 1, 30);
+    free(vms);
+}
+
+/// @return the time that a task takes on a target
+static int64_t
+run_time_ns(run_t *run, const virtual_job_t *job, uint32_t task,
+            const target_t *target)
+{
+    int64_t time_ns = (int64_t)job->drawn.task_ms[task] * kNsPerMs *
+                      run->speed_percent[target->vm] / kPercent;
+    bool is_straggler =
+        rng_below(&run->rng, 1000) < run->options->straggler_per_mille;
+    return is_straggler ? time_ns * kStragglerFactor : time_ns;
+}
+
+static void
+start_task(run_t *run, virtual_job_t *job, uint32_t task, target_t *target)
+{
+    virtual_try_t *try = malloc(sizeof *try);
+    *try = (virtual_try_t){.node = {.place = kHeapAbsent},
+                           .job = job,
+                           .task = task,
+                           .target = target,
+                           .started_ns = run->now_ns};
+    job_apply(&job->job,
+              &(job_event_t){.type = kJobEventTaskStart, .task = task});
+    heap_set(&run->running, &try->node,
+             run->now_ns + run_time_ns(run, job, task, target));
+    run->decision_count++;
+}
+
+/// Starts waiting tasks as long as targets are open.
+static void
+pump(run_t *run)
+{
+    waiting_class_t *group = waiting_first_class(run->waiting);
+    waiting_part_t *part;
+    while (group != NULL && (part = waiting_first(group)) != NULL) {
+        route_query_t query = {.needs = &any_needs, .now_ns = run->now_ns};
+        target_t *target = route_reserve(run->options->routing, run->table,
+                                         &query, &run->rng);
+        if (target == NULL) {
+            return;
+        }
+        start_task(run, part->job, waiting_take(run->waiting, part), target);
+    }
+    waiting_sweep(run->waiting);
+}
+
+static void
+take_job(run_t *run)
+{
+    virtual_job_t *job = malloc(sizeof *job);
+    workload_draw(&run->load->workload, &run->rng, &job->drawn);
+    job_init(&job->job, job->tasks, job->drawn.task_count, INT64_MAX);
+    job->came_ns = run->now_ns;
+    for (uint32_t i = 0; i < job->drawn.task_count; i++) {
+        job->places[i] = i;
+    }
+    waiting_part_init(&job->part, &any_needs, job, run->now_ns, 1, job->places,
+                      job->drawn.task_count);
+    waiting_put(run->waiting, &job->part);
+    run->result->jobs++;
+    run->result->tasks += job->drawn.task_count;
+    pump(run);
+}
+
+static void
+finish_job(run_t *run, virtual_job_t *job)
+{
+    int64_t ideal_ns =
+        workload_ideal_ns(&job->drawn, run->load->capacity_milli);
+    uint64_t response_ns = (uint64_t)(run->now_ns - job->came_ns);
+    run->result->complete++;
+    run->result->complete_tasks += job->drawn.task_count;
+    histogram_add(&run->result->slowdown,
+                  response_ns * 1000 / (uint64_t)ideal_ns);
+    histogram_add(&run->result->response, response_ns / 1000);
+    free(job);
+}
+
+static void
+end_task(run_t *run, virtual_try_t *try)
+{
+    heap_remove(&run->running, &try->node);
+    target_release(try->target, run->table, kSignDone, 0,
+                   run->now_ns - try->started_ns, run->now_ns);
+    uint32_t acts =
+        job_apply(&try->job->job,
+                  &(job_event_t){.type = kJobEventTryDone, .task = try->task});
+    if (acts & kJobActFinish) {
+        finish_job(run, try->job);
+    }
+    free(try);
+    pump(run);
+}
+
+/// Serves arrivals and ends of tasks in the order of their times.
+static void
+run_events(run_t *run, double gap_ns)
+{
+    int64_t end_ns = (int64_t)run->load->duration_ms * kNsPerMs;
+    int64_t arrival_ns = workload_gap_ns(&run->rng, gap_ns);
+    for (;;) {
+        heap_node_t *first = heap_first(&run->running);
+        bool is_arrival = arrival_ns < end_ns &&
+                          (first == NULL || arrival_ns < first->deadline_ns);
+        if (is_arrival) {
+            run->now_ns = arrival_ns;
+            take_job(run);
+            arrival_ns += workload_gap_ns(&run->rng, gap_ns);
+        }
+        else if (first != NULL) {
+            run->now_ns = first->deadline_ns;
+            end_task(run, (virtual_try_t *)first);
+        }
+        else {
+            return;
+        }
+    }
+}
+
+void
+virtual_run(const virtual_t *virtual, const load_t *load,
+            load_result_t *result)
+{
+    run_t run = {.options = virtual,
+                 .load = load,
+                 .result = result,
+                 .waiting = waiting_create(virtual->ordering),
+                 .rng = {.state = load->seed}};
+    double rate = (double)load->rate_milli / 1000;
+    if (load->work_milli > 0) {
+        rate = (double)load->work_milli * 1000 /
+               (double)workload_mean_us(&load->workload);
+    }
+    build_targets(&run);
+    int64_t start_ns = clock_now_ns();
+    run_events(&run, (double)NS_PER_S / rate);
+    int64_t spent_ns = clock_now_ns() - start_ns;
+    fprintf(stderr, "%lu starts, %ld ns each\n",
+            (unsigned long)run.decision_count,
+            run.decision_count == 0
+                ? 0
+                : (long)(spent_ns / (int64_t)run.decision_count));
+    heap_clear(&run.running);
+    waiting_destroy(run.waiting);
+    target_table_free(run.table);
+    free(run.speed_percent);
+}
