perf(route): borrow slots only on a report of free ones; a full target is no failure

Ruled out: faults of targets (ledger shows refusals only). Conclusion: shares first, borrowing by evidence; the waste that is left comes from reports that are old when they are used.

--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -98,6 +98,18 @@
                   (service_ns - shard->service_ns) / kMeanWeight;
 }
 
+/// @return whether a task that did not run may be tried again. A target that
+/// is full or leaving is no failure: the task waits on, to its deadline.
+static bool
+may_retry(const job_record_t *record, uint32_t task,
+          const judgement_t *judgement)
+{
+    return judgement->sign == kSignRefused ||
+           judgement->sign == kSignLeaving ||
+           record->job.tasks[task].try_count <=
+               record->shard->dispatch->settings->retry_limit;
+}
+
 static void
 on_reply(void *owner, const http_reply_t *reply)
 {
@@ -111,7 +123,7 @@
         target_note_leaving(try->target, now_ns);
     }
     if (reply->has_load) {
-        target_note_load(try->target, reply->load_busy);
+        target_note_load(try->target, reply->load_busy, now_ns);
     }
     if (judgement.event == kJobEventTryDone) {
         learn_service(shard, now_ns - try->started_ns);
@@ -125,8 +137,8 @@
     job_event_t event = {.type = judgement.event,
                          .task = try->task,
                          .kind = judgement.kind,
-                         .may_retry = record->job.tasks[try->task].try_count <=
-                                      shard->dispatch->settings->retry_limit};
+                         .may_retry =
+                             may_retry(record, try->task, &judgement)};
     free(try);
     jobs_apply(record, &event);
     tries_pump(shard);
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -6,7 +6,8 @@
 
 #include "base/counters.h"
 
-#define FULL_NS INT64_C(20000000)       // own share only after a refusal
+#define FULL_NS INT64_C(10000000)       // no more tries after a refusal
+#define OTHERS_NS INT64_C(500000000)    // a reported load is believed so long
 #define ABSENT_NS INT64_C(250000000)    // no new connection after a failure
 #define LEAVING_NS INT64_C(30000000000) // a target's own word holds so long
 #define EJECT_NS INT64_C(1000000000)    // first ejection; doubles each time
@@ -172,6 +173,21 @@
     return slots;
 }
 
+/// @return slots that this process may use beyond its share: those that the
+/// last report shows free, less one where others are about
+static uint32_t
+borrowed_limit(const target_t *target, int64_t now_ns)
+{
+    if (now_ns >=
+        atomic_load_explicit(&target->others_until_ns, memory_order_relaxed)) {
+        return 0;
+    }
+    uint32_t others =
+        atomic_load_explicit(&target->others_busy, memory_order_relaxed);
+    uint32_t margin = others > 0 ? others + 1 : 0;
+    return margin < target->slots ? target->slots - margin : 0;
+}
+
 /// @return most tries of this process that may be out on the target
 static uint32_t
 limit_now(const target_t *target, int64_t now_ns)
@@ -181,9 +197,14 @@
     }
     uint32_t share =
         atomic_load_explicit(&target->share_slots, memory_order_relaxed);
-    bool is_full = now_ns < atomic_load_explicit(&target->full_until_ns,
-                                                 memory_order_relaxed);
-    return is_full ? share : target->slots;
+    if (now_ns <
+        atomic_load_explicit(&target->full_until_ns, memory_order_relaxed)) {
+        uint32_t full =
+            atomic_load_explicit(&target->full_limit, memory_order_relaxed);
+        return full < share ? full : share;
+    }
+    uint32_t borrowed = borrowed_limit(target, now_ns);
+    return borrowed > share ? borrowed : share;
 }
 
 bool
@@ -288,6 +309,8 @@
         learn_failure(target, table, now_ns);
         break;
     case kSignRefused:
+        atomic_store(&target->full_limit,
+                     atomic_load(&target->outstanding) - 1);
         atomic_store(&target->full_until_ns, now_ns + FULL_NS);
         break;
     case kSignAbsent:
@@ -310,9 +333,14 @@
 }
 
 void
-target_note_load(target_t *target, uint32_t busy)
+target_note_load(target_t *target, uint32_t busy, int64_t now_ns)
 {
-    atomic_store_explicit(&target->load_busy, busy, memory_order_relaxed);
+    uint32_t own =
+        atomic_load_explicit(&target->outstanding, memory_order_relaxed) - 1;
+    atomic_store_explicit(&target->others_busy, busy > own ? busy - own : 0,
+                          memory_order_relaxed);
+    atomic_store_explicit(&target->others_until_ns, now_ns + OTHERS_NS,
+                          memory_order_relaxed);
 }
 
 int64_t
--- a/src/route/target.h
+++ b/src/route/target.h
@@ -42,8 +42,10 @@
     _Atomic int64_t leaving_until_ns; ///< by its own word, until then
     _Atomic uint32_t share_slots;     ///< this process's own part of the slots
     _Atomic uint32_t outstanding;     ///< tries of this process that are out
-    _Atomic uint32_t load_busy;       ///< slots in use, as last reported
-    _Atomic int64_t full_until_ns;    ///< own share only, until then
+    _Atomic uint32_t others_busy; ///< slots that others use, as last reported
+    _Atomic int64_t others_until_ns; ///< how long that is believed
+    _Atomic uint32_t full_limit;     ///< most tries out after a refusal
+    _Atomic int64_t full_until_ns;   ///< how long that holds
     _Atomic int64_t absent_until_ns;
     _Atomic int64_t service_ns[kKindBuckets]; ///< mean of done tries; 0 none
     _Atomic uint32_t fail_streak;
@@ -107,8 +109,9 @@
 /// Notes that the target said it is leaving, whatever the list says.
 void target_note_leaving(target_t *target, int64_t now_ns);
 
-/// Takes in a load that the target reported.
-void target_note_load(target_t *target, uint32_t busy);
+/// Takes in a load that the target reported with the answer to a try that is
+/// still counted as out.
+void target_note_load(target_t *target, uint32_t busy, int64_t now_ns);
 
 /// @return mean service time of a kind; an estimate for one not yet seen
 int64_t target_service_ns(const target_t *target, uint32_t kind_bucket);
