feat(route): leave fast targets for the tasks that jobs wait for

Policy slack: the slowest target on which a task still ends before its job can. Falls back to the fastest free one when times stray from what was expected.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -17,6 +17,7 @@
 #include "net/http_client.h"
 #include "net/listener.h"
 #include "queue/waiting.h"
+#include "route/estimate.h"
 #include "shell/agent_link.h"
 #include "shell/control.h"
 
@@ -63,7 +64,8 @@
     loop_timer_t pump_timer;
     uint32_t backoff_count; ///< tasks that wait for their next try's time
     int64_t service_ns;     ///< mean time of done tries
-    adopted_t *adopted;     ///< records of stopped peers; shard 0 only
+    estimate_t estimate;
+    adopted_t *adopted; ///< records of stopped peers; shard 0 only
 
     _Atomic uint32_t active_count; ///< jobs that have not ended
     _Atomic uint32_t held_count;
--- a/src/dispatch/jobs.c
+++ b/src/dispatch/jobs.c
@@ -163,6 +163,22 @@
     }
 }
 
+/// @return when a job can end at the earliest: its longest task, started now
+/// on the fastest target. Under RCU.
+static int64_t
+best_end_ns(const job_record_t *record, const view_t *view, int64_t now_ns)
+{
+    int64_t longest_ns = 0;
+    for (uint32_t i = 0; i < record->document.tasks_count; i++) {
+        const task_document_t *task = &record->document.tasks[i];
+        int64_t expected_ns = estimate_expect_ns(
+            &record->shard->estimate, task->kind, task->expected_ms);
+        longest_ns = expected_ns > longest_ns ? expected_ns : longest_ns;
+    }
+    return now_ns + target_stretch_ns(longest_ns, target_table_least_slowness(
+                                                      view->targets));
+}
+
 /// @return whether some target could run each task. Under RCU.
 static bool
 do_tasks_fit(const view_t *view, const job_document_t *document)
@@ -216,6 +232,7 @@
         return kErrorKindQuota;
     }
     record->priority = atomic_load(&team->priority);
+    record->best_end_ns = best_end_ns(record, view, now_ns);
     return kErrorKindOk;
 }
 
--- a/src/dispatch/jobs.h
+++ b/src/dispatch/jobs.h
@@ -41,6 +41,7 @@
     try_t **tries;    ///< by task; NULL where none is out
     waiting_part_t *parts;
     uint32_t priority;
+    int64_t best_end_ns;    ///< when the job can end at the earliest
     uint32_t backoff_count; ///< of its tasks, waiting for their time
     loop_timer_t deadline;
 
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -25,7 +25,7 @@
     job_record_t *record;
     uint32_t task;
     target_t *target;
-    uint32_t kind_bucket;
+    int64_t expected_ns; ///< run time that was expected; 0 for unknown
     int64_t started_ns;
     http_request_t *request;
     char url[kUrlBytes];
@@ -82,15 +82,22 @@
     shard_t *shard = try->record->shard;
     rcu_read_lock();
     const view_t *view = rcu_dereference(shard->dispatch->view);
-    target_release(try->target, view->targets, sign, try->kind_bucket,
-                   now_ns - try->started_ns, now_ns);
+    target_release(
+        try->target, view->targets, sign,
+        target_excess_millibits(now_ns - try->started_ns, try->expected_ns),
+        now_ns);
     rcu_read_unlock();
     atomic_fetch_sub_explicit(&shard->started_count, 1, memory_order_relaxed);
 }
 
+/// Learns from a try that was done.
 static void
-learn_service(shard_t *shard, int64_t service_ns)
+learn_service(shard_t *shard, const try_t *try, int64_t service_ns)
 {
+    const char *kind = try->record->document.tasks[try->task].kind;
+    estimate_learn(&shard->estimate, kind, service_ns,
+                   target_excess_millibits(service_ns, try->expected_ns),
+                   target_slowness_millibits(try->target));
     shard->service_ns =
         shard->service_ns == 0
             ? service_ns
@@ -126,7 +133,7 @@
         target_note_load(try->target, reply->load_busy, now_ns);
     }
     if (judgement.event == kJobEventTryDone) {
-        learn_service(shard, now_ns - try->started_ns);
+        learn_service(shard, try, now_ns - try->started_ns);
         bytes_t *result = &record->results[try->task];
         result->size_bytes = reply->body.size_bytes;
         result->data = (uint8_t *)arena_copy(record->arena, reply->body.data,
@@ -163,7 +170,7 @@
 /// Sends a waiting task to a target whose slot was taken.
 static void
 start_try(job_record_t *record, uint32_t task, target_t *target,
-          uint32_t kind_bucket)
+          int64_t expected_ns)
 {
     shard_t *shard = record->shard;
     const dispatch_settings_t *settings = shard->dispatch->settings;
@@ -178,7 +185,7 @@
     *try = (try_t){.record = record,
                    .task = task,
                    .target = target,
-                   .kind_bucket = kind_bucket,
+                   .expected_ns = expected_ns,
                    .started_ns = clock_now_ns()};
     write_request(try, lease_ns);
     const char *headers[] = {try->lease_header,
@@ -213,17 +220,21 @@
     while ((part = waiting_first(group)) != NULL) {
         job_record_t *record = part->job;
         uint32_t task = part->tasks[part->first];
-        route_query_t query = {.needs = part->needs,
-                               .kind_bucket = target_kind_bucket(
-                                   record->document.tasks[task].kind),
-                               .now_ns = now_ns};
+        const task_document_t *document = &record->document.tasks[task];
+        bool is_planned = estimate_is_trusted(&shard->estimate);
+        route_query_t query = {
+            .needs = part->needs,
+            .expected_ns = estimate_expect_ns(&shard->estimate, document->kind,
+                                              document->expected_ms),
+            .slack_ns = is_planned ? record->best_end_ns - now_ns : 0,
+            .now_ns = now_ns};
         target_t *target = route_reserve(shard->dispatch->settings->routing,
                                          view->targets, &query, &shard->rng);
         if (target == NULL) {
             return;
         }
         waiting_take(shard->waiting, part);
-        start_try(record, task, target, query.kind_bucket);
+        start_try(record, task, target, query.expected_ns);
     }
 }
 
--- a/src/load/virtual.c
+++ b/src/load/virtual.c
@@ -7,6 +7,7 @@
 #include "base/heap.h"
 #include "core/job.h"
 #include "queue/waiting.h"
+#include "route/estimate.h"
 #include "route/route.h"
 #include "shell/clock.h"
 
@@ -20,6 +21,7 @@
     uint32_t places[kWorkloadTasks];
     waiting_part_t part;
     int64_t came_ns;
+    int64_t best_end_ns;
 } virtual_job_t;
 
 /// A task that runs until its node's time.
@@ -29,6 +31,7 @@
     uint32_t task;
     target_t *target;
     int64_t started_ns;
+    int64_t expected_ns;
 } virtual_try_t;
 
 /// A run.
@@ -43,8 +46,10 @@
     rng_t rng;
     int64_t now_ns;
     uint64_t decision_count;
+    estimate_t estimate;
 } run_t;
 
+static const char kind_name[] = "task";
 static const needs_t any_needs = {.processors = 1};
 
 static void
@@ -84,14 +89,16 @@
 }
 
 static void
-start_task(run_t *run, virtual_job_t *job, uint32_t task, target_t *target)
+start_task(run_t *run, virtual_job_t *job, uint32_t task, target_t *target,
+           int64_t expected_ns)
 {
     virtual_try_t *try = malloc(sizeof *try);
     *try = (virtual_try_t){.node = {.place = kHeapAbsent},
                            .job = job,
                            .task = task,
                            .target = target,
-                           .started_ns = run->now_ns};
+                           .started_ns = run->now_ns,
+                           .expected_ns = expected_ns};
     job_apply(&job->job,
               &(job_event_t){.type = kJobEventTaskStart, .task = task});
     heap_set(&run->running, &try->node,
@@ -99,6 +106,27 @@
     run->decision_count++;
 }
 
+static int64_t
+expect_ns(const run_t *run, const virtual_job_t *job, uint32_t task)
+{
+    return estimate_expect_ns(&run->estimate, kind_name,
+                              job->drawn.declared_ms[task]);
+}
+
+/// @return when a job can end at the earliest
+static int64_t
+best_end_ns(const run_t *run, const virtual_job_t *job)
+{
+    int64_t longest_ns = 0;
+    for (uint32_t i = 0; i < job->drawn.task_count; i++) {
+        int64_t time_ns = expect_ns(run, job, i);
+        longest_ns = time_ns > longest_ns ? time_ns : longest_ns;
+    }
+    return run->now_ns +
+           target_stretch_ns(longest_ns,
+                             target_table_least_slowness(run->table));
+}
+
 /// Starts waiting tasks as long as targets are open.
 static void
 pump(run_t *run)
@@ -106,13 +134,21 @@
     waiting_class_t *group = waiting_first_class(run->waiting);
     waiting_part_t *part;
     while (group != NULL && (part = waiting_first(group)) != NULL) {
-        route_query_t query = {.needs = &any_needs, .now_ns = run->now_ns};
+        virtual_job_t *job = part->job;
+        uint32_t task = part->tasks[part->first];
+        bool is_planned = estimate_is_trusted(&run->estimate);
+        route_query_t query = {
+            .needs = &any_needs,
+            .expected_ns = expect_ns(run, job, task),
+            .slack_ns = is_planned ? job->best_end_ns - run->now_ns : 0,
+            .now_ns = run->now_ns};
         target_t *target = route_reserve(run->options->routing, run->table,
                                          &query, &run->rng);
         if (target == NULL) {
             return;
         }
-        start_task(run, part->job, waiting_take(run->waiting, part), target);
+        waiting_take(run->waiting, part);
+        start_task(run, job, task, target, query.expected_ns);
     }
     waiting_sweep(run->waiting);
 }
@@ -124,6 +160,7 @@
     workload_draw(&run->load->workload, &run->rng, &job->drawn);
     job_init(&job->job, job->tasks, job->drawn.task_count, INT64_MAX);
     job->came_ns = run->now_ns;
+    job->best_end_ns = best_end_ns(run, job);
     for (uint32_t i = 0; i < job->drawn.task_count; i++) {
         job->places[i] = i;
     }
@@ -153,8 +190,11 @@
 end_task(run_t *run, virtual_try_t *try)
 {
     heap_remove(&run->running, &try->node);
-    target_release(try->target, run->table, kSignDone, 0,
-                   run->now_ns - try->started_ns, run->now_ns);
+    int64_t time_ns = run->now_ns - try->started_ns;
+    int64_t excess = target_excess_millibits(time_ns, try->expected_ns);
+    estimate_learn(&run->estimate, kind_name, time_ns, excess,
+                   target_slowness_millibits(try->target));
+    target_release(try->target, run->table, kSignDone, excess, run->now_ns);
     uint32_t acts =
         job_apply(&try->job->job,
                   &(job_event_t){.type = kJobEventTryDone, .task = try->task});
--- /dev/null
+++ b/src/route/estimate.c
@@ -0,0 +1,48 @@
+#include "route/estimate.h"
+
+#include <stdlib.h>
+
+enum {
+    kMeanWeight = 16,
+    kNoiseWeight = 64,
+    kTrustedMillibits = 600, ///< within half as much again
+    kNsPerMs = 1000000
+};
+
+static uint32_t
+bucket_of(const char *kind)
+{
+    uint32_t hash = 2166136261u;
+    for (; *kind != '\0'; kind++) {
+        hash = (hash ^ (uint8_t)*kind) * 16777619u;
+    }
+    return (hash ^ hash >> 16) % kKindBuckets;
+}
+
+int64_t
+estimate_expect_ns(const estimate_t *estimate, const char *kind,
+                   uint32_t declared_ms)
+{
+    if (declared_ms > 0) {
+        return (int64_t)declared_ms * kNsPerMs;
+    }
+    return estimate->kind_ns[bucket_of(kind)];
+}
+
+void
+estimate_learn(estimate_t *estimate, const char *kind, int64_t time_ns,
+               int64_t excess_millibits, int64_t slowness_millibits)
+{
+    int64_t *mean_ns = &estimate->kind_ns[bucket_of(kind)];
+    *mean_ns = *mean_ns == 0 ? time_ns
+                             : *mean_ns + (time_ns - *mean_ns) / kMeanWeight;
+    int64_t distance = llabs(excess_millibits - slowness_millibits);
+    estimate->noise_millibits +=
+        (distance - estimate->noise_millibits) / kNoiseWeight;
+}
+
+bool
+estimate_is_trusted(const estimate_t *estimate)
+{
+    return estimate->noise_millibits < kTrustedMillibits;
+}
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -73,15 +73,12 @@
     return load_of(second) < load_of(first) ? second : first;
 }
 
-/// The candidate that is expected to finish first, by measured service time
-/// of the kind; the less loaded one among equals. A target never tried goes
-/// first, one task at a time.
+/// @return the fastest candidate of a sample, or NULL
 static target_t *
 choose_expected(const target_table_t *table, const route_query_t *query,
                 rng_t *rng)
 {
     target_t *best = NULL;
-    int64_t best_ns = 0;
     uint32_t seen_count = 0;
     uint32_t start = rng_below(rng, table->count);
     for (uint32_t i = 0; i < table->count && seen_count < kSampleSize; i++) {
@@ -90,21 +87,51 @@
             continue;
         }
         seen_count++;
-        int64_t service_ns = target_service_ns(target, query->kind_bucket);
-        if (best == NULL || service_ns < best_ns) {
+        if (best == NULL || target_slowness_millibits(target) <
+                                target_slowness_millibits(best)) {
             best = target;
-            best_ns = service_ns;
         }
     }
     return best;
 }
 
+/// The slowest candidate on which the task still ends before its job can,
+/// so that the fast ones are left for tasks that jobs wait for; the fastest
+/// where there is none, or where the task is itself one of these.
+static target_t *
+choose_slack(const target_table_t *table, const route_query_t *query,
+             rng_t *rng)
+{
+    target_t *best = NULL;
+    uint32_t seen_count = 0;
+    uint32_t start = rng_below(rng, table->count);
+    if (query->expected_ns == 0 || query->slack_ns <= 0) {
+        return choose_expected(table, query, rng);
+    }
+    int64_t room =
+        target_excess_millibits(query->slack_ns, query->expected_ns);
+    for (uint32_t i = 0; i < table->count && seen_count < kSampleSize; i++) {
+        target_t *target = table->targets[(start + i) % table->count];
+        if (!is_candidate(target, query)) {
+            continue;
+        }
+        seen_count++;
+        int64_t slowness = target_slowness_millibits(target);
+        if (slowness <= room &&
+            (best == NULL || slowness > target_slowness_millibits(best))) {
+            best = target;
+        }
+    }
+    return best != NULL ? best : choose_expected(table, query, rng);
+}
+
 const route_ops_t route_table[kRoutingCount] = {
     [kRoutingRandom] = {.name = "random", .choose = choose_random},
     [kRoutingLeastOutstanding] = {.name = "least_outstanding",
                                   .choose = choose_least},
     [kRoutingTwoChoices] = {.name = "two_choices", .choose = choose_two},
     [kRoutingExpected] = {.name = "expected", .choose = choose_expected},
+    [kRoutingSlack] = {.name = "slack", .choose = choose_slack},
 };
 
 target_t *
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -9,7 +9,9 @@
 /// What a choice goes by.
 typedef struct {
     const needs_t *needs;
-    uint32_t kind_bucket;
+    int64_t expected_ns; ///< run time that is expected; 0 where unknown
+    int64_t slack_ns;    ///< time until the job can end at the earliest; 0
+                         ///< for a task that others wait for
     int64_t now_ns;
 } route_query_t;
 
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -1,5 +1,6 @@
 #include "route/target.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,20 +16,12 @@
 enum {
     kEjectStreak = 3,      ///< failures in a row that eject a proved target
     kEjectTrialStreak = 1, ///< the same for one on trial
-    kMeanWeight = 8,       ///< weight of the past in a mean, over 1
-    kMaxDoublings = 6
+    kMeanWeight = 16,      ///< samples that a mean goes back
+    kMaxDoublings = 6,
+    kMaxRefuseDoublings = 4,
+    kMilli = 1000
 };
 
-uint32_t
-target_kind_bucket(const char *kind)
-{
-    uint32_t hash = 2166136261u;
-    for (; *kind != '\0'; kind++) {
-        hash = (hash ^ (uint8_t)*kind) * 16777619u;
-    }
-    return (hash ^ hash >> 16) % kKindBuckets;
-}
-
 static target_t *
 create_target(const vm_entry_t *vm)
 {
@@ -173,19 +166,16 @@
     return slots;
 }
 
-/// @return slots that this process may use beyond its share: those that the
-/// last report shows free, less one where others are about
+/// @return slots that this process may use beyond its share: all of them
+/// where the last report shows that nobody else uses any
 static uint32_t
 borrowed_limit(const target_t *target, int64_t now_ns)
 {
-    if (now_ns >=
-        atomic_load_explicit(&target->others_until_ns, memory_order_relaxed)) {
-        return 0;
-    }
-    uint32_t others =
-        atomic_load_explicit(&target->others_busy, memory_order_relaxed);
-    uint32_t margin = others > 0 ? others + 1 : 0;
-    return margin < target->slots ? target->slots - margin : 0;
+    bool is_alone =
+        now_ns < atomic_load_explicit(&target->others_until_ns,
+                                      memory_order_relaxed) &&
+        atomic_load_explicit(&target->others_busy, memory_order_relaxed) == 0;
+    return is_alone ? target->slots : 0;
 }
 
 /// @return most tries of this process that may be out on the target
@@ -239,16 +229,19 @@
     return false;
 }
 
-/// Moves a mean towards a sample.
+/// Moves the mean towards a sample; the first ones count for more.
 static void
-learn_service(target_t *target, uint32_t kind_bucket, int64_t service_ns)
+learn_slowness(target_t *target, int64_t excess_millibits)
 {
-    _Atomic int64_t *mean = &target->service_ns[kind_bucket];
-    int64_t old_ns = atomic_load_explicit(mean, memory_order_relaxed);
-    int64_t new_ns = old_ns == 0
-                         ? service_ns
-                         : old_ns + (service_ns - old_ns) / kMeanWeight;
-    atomic_store_explicit(mean, new_ns, memory_order_relaxed);
+    uint32_t count = atomic_fetch_add_explicit(&target->sample_count, 1,
+                                               memory_order_relaxed) +
+                     1;
+    int64_t weight = count < kMeanWeight ? count : kMeanWeight;
+    int64_t old = atomic_load_explicit(&target->slowness_millibits,
+                                       memory_order_relaxed);
+    atomic_store_explicit(&target->slowness_millibits,
+                          old + (excess_millibits - old) / weight,
+                          memory_order_relaxed);
 }
 
 /// Ends an ejection whose time is over, so that the cap counts it no more.
@@ -292,13 +285,25 @@
     }
 }
 
+/// Holds further tries back, longer after each refusal in a row.
+static void
+learn_refusal(target_t *target, int64_t now_ns)
+{
+    uint32_t streak = atomic_fetch_add(&target->refuse_streak, 1);
+    uint32_t doublings =
+        streak < kMaxRefuseDoublings ? streak : kMaxRefuseDoublings;
+    atomic_store(&target->full_limit, atomic_load(&target->outstanding) - 1);
+    atomic_store(&target->full_until_ns, now_ns + (FULL_NS << doublings));
+}
+
 void
 target_release(target_t *target, target_table_t *table, target_sign_t sign,
-               uint32_t kind_bucket, int64_t service_ns, int64_t now_ns)
+               int64_t excess_millibits, int64_t now_ns)
 {
     switch (sign) {
     case kSignDone:
-        learn_service(target, kind_bucket, service_ns);
+        learn_slowness(target, excess_millibits);
+        atomic_store_explicit(&target->refuse_streak, 0, memory_order_relaxed);
         atomic_store(&target->fail_streak, 0);
         atomic_store(&target->is_on_trial, false);
         atomic_fetch_add_explicit(&target->done_count, 1,
@@ -309,9 +314,7 @@
         learn_failure(target, table, now_ns);
         break;
     case kSignRefused:
-        atomic_store(&target->full_limit,
-                     atomic_load(&target->outstanding) - 1);
-        atomic_store(&target->full_until_ns, now_ns + FULL_NS);
+        learn_refusal(target, now_ns);
         break;
     case kSignAbsent:
         atomic_store(&target->absent_until_ns, now_ns + ABSENT_NS);
@@ -344,20 +347,38 @@
 }
 
 int64_t
-target_service_ns(const target_t *target, uint32_t kind_bucket)
+target_slowness_millibits(const target_t *target)
 {
-    int64_t mean_ns = atomic_load_explicit(&target->service_ns[kind_bucket],
-                                           memory_order_relaxed);
-    if (mean_ns != 0) {
-        return mean_ns;
-    }
-    int64_t least_ns = 0;
-    for (uint32_t i = 0; i < kKindBuckets; i++) {
-        int64_t other_ns =
-            atomic_load_explicit(&target->service_ns[i], memory_order_relaxed);
-        if (other_ns != 0 && (least_ns == 0 || other_ns < least_ns)) {
-            least_ns = other_ns;
+    return atomic_load_explicit(&target->slowness_millibits,
+                                memory_order_relaxed);
+}
+
+int64_t
+target_table_least_slowness(const target_table_t *table)
+{
+    int64_t least = INT64_MAX;
+    for (uint32_t i = 0; i < table->count; i++) {
+        const target_t *target = table->targets[i];
+        if (atomic_load_explicit(&target->sample_count, memory_order_relaxed) >
+                0 &&
+            target_slowness_millibits(target) < least) {
+            least = target_slowness_millibits(target);
         }
     }
-    return least_ns;
+    return least == INT64_MAX ? 0 : least;
+}
+
+int64_t
+target_stretch_ns(int64_t time_ns, int64_t millibits)
+{
+    return (int64_t)((double)time_ns * exp2((double)millibits / kMilli));
+}
+
+int64_t
+target_excess_millibits(int64_t time_ns, int64_t expected_ns)
+{
+    if (time_ns <= 0 || expected_ns <= 0) {
+        return 0;
+    }
+    return (int64_t)(log2((double)time_ns / (double)expected_ns) * kMilli);
 }
--- a/src/route/target.h
+++ b/src/route/target.h
@@ -11,7 +11,6 @@
 #include "generated/messages.h"
 
 enum {
-    kKindBuckets = 16,
     kTargetUrlBytes = 80,
     kTargetAddressBytes = 46,
     kTrialOutstanding = 1 ///< tries out at once on a target on probation
@@ -47,7 +46,9 @@
     _Atomic uint32_t full_limit;     ///< most tries out after a refusal
     _Atomic int64_t full_until_ns;   ///< how long that holds
     _Atomic int64_t absent_until_ns;
-    _Atomic int64_t service_ns[kKindBuckets]; ///< mean of done tries; 0 none
+    _Atomic uint32_t refuse_streak;     ///< refusals since the last done try
+    _Atomic int64_t slowness_millibits; ///< see target_slowness_millibits
+    _Atomic uint32_t sample_count;      ///< tries that it was learned from
     _Atomic uint32_t fail_streak;
     _Atomic int64_t ejected_until_ns; ///< 0 when not ejected
     _Atomic bool is_on_trial; ///< new or back from ejection, not yet proved
@@ -100,11 +101,12 @@
 
 /// Gives a slot back, with what was learned.
 ///
-/// @param sign        what the try told
-/// @param service_ns  time of a done try
+/// @param sign              what the try told
+/// @param excess_millibits  of a done try: binary logarithm of its time over
+///                          the time that was expected, in 1/1000
 void target_release(target_t *target, target_table_t *table,
-                    target_sign_t sign, uint32_t kind_bucket,
-                    int64_t service_ns, int64_t now_ns);
+                    target_sign_t sign, int64_t excess_millibits,
+                    int64_t now_ns);
 
 /// Notes that the target said it is leaving, whatever the list says.
 void target_note_leaving(target_t *target, int64_t now_ns);
@@ -113,10 +115,17 @@
 /// still counted as out.
 void target_note_load(target_t *target, uint32_t busy, int64_t now_ns);
 
-/// @return mean service time of a kind; an estimate for one not yet seen
-int64_t target_service_ns(const target_t *target, uint32_t kind_bucket);
+/// @return how slow the target is: the mean of the binary logarithm of run
+///         times over expected ones, in 1/1000; 0 for one never tried
+int64_t target_slowness_millibits(const target_t *target);
 
-/// @return the bucket of a kind's name
-uint32_t target_kind_bucket(const char *kind);
+/// @return the least slowness of the targets that were tried
+int64_t target_table_least_slowness(const target_table_t *table);
+
+/// @return a time stretched by a slowness
+int64_t target_stretch_ns(int64_t time_ns, int64_t millibits);
+
+/// @return the binary logarithm of a time over another, in 1/1000
+int64_t target_excess_millibits(int64_t time_ns, int64_t expected_ns);
 
 #endif
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -29,7 +29,7 @@
 run_try(target_t *target, target_sign_t sign)
 {
     CU_ASSERT_TRUE_FATAL(target_reserve(target, kNow));
-    target_release(target, table, sign, 0, 100, kNow);
+    target_release(target, table, sign, 100, kNow);
 }
 
 /// The shares of the entry VMs add up to the slots.
@@ -62,7 +62,7 @@
 release_all(target_t *target)
 {
     while (target->outstanding > 0) {
-        target_release(target, table, kSignNone, 0, 0, kNow);
+        target_release(target, table, kSignNone, 0, kNow);
     }
 }
 
@@ -76,17 +76,17 @@
     target_t *target = table->targets[0];
     uint32_t share = target->share_slots;
     CU_ASSERT_EQUAL(reserve_all(target), 1);
-    target_release(target, table, kSignDone, 0, 100, kNow);
+    target_release(target, table, kSignDone, 100, kNow);
     CU_ASSERT_EQUAL(reserve_all(target), share);
     target_note_load(target, share - 1, kNow); // nobody else is there
-    target_release(target, table, kSignDone, 0, 100, kNow);
+    target_release(target, table, kSignDone, 100, kNow);
     CU_ASSERT_EQUAL(reserve_all(target) + share - 1, 8);
     target_note_load(target, 8, kNow); // one slot is another's
-    target_release(target, table, kSignDone, 0, 100, kNow);
+    target_release(target, table, kSignDone, 100, kNow);
     CU_ASSERT_EQUAL(reserve_all(target), 0);
     release_all(target);
-    CU_ASSERT_EQUAL(reserve_all(target), 6);
-    target_release(target, table, kSignRefused, 0, 0, kNow);
+    CU_ASSERT_EQUAL(reserve_all(target), share);
+    target_release(target, table, kSignRefused, 0, kNow);
     CU_ASSERT_FALSE(target_is_open(target, kNow + 1));
     release_all(target);
     target_table_free(table);
