--- a/src/route/route.c
+++ b/src/route/route.c
@@ -10,7 +10,7 @@
 static bool
 is_candidate(const target_t *target, const route_query_t *query)
 {
-    return target_is_open(target, query->now_ns) &&
+    return target_is_open(target, query->may_borrow, query->now_ns) &&
            target_fits(target, query->needs);
 }
 
@@ -134,6 +134,21 @@
     [kRoutingSlack] = {.name = "slack", .choose = choose_slack},
 };
 
+/// Chooses by the query as it is and takes a slot.
+static target_t *
+reserve_once(routing_t routing, const target_table_t *table,
+             const route_query_t *query, rng_t *rng)
+{
+    for (uint32_t i = 0; i < kReserveTries; i++) {
+        target_t *target = route_table[routing].choose(table, query, rng);
+        if (target == NULL ||
+            target_reserve(target, query->may_borrow, query->now_ns)) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
 target_t *
 route_reserve(routing_t routing, const target_table_t *table,
               const route_query_t *query, rng_t *rng)
@@ -141,11 +156,11 @@
     if (table->count == 0) {
         return NULL;
     }
-    for (uint32_t i = 0; i < kReserveTries; i++) {
-        target_t *target = route_table[routing].choose(table, query, rng);
-        if (target == NULL || target_reserve(target, query->now_ns)) {
-            return target;
-        }
+    target_t *target = reserve_once(routing, table, query, rng);
+    if (target != NULL) {
+        return target;
     }
-    return NULL;
+    route_query_t wider = *query;
+    wider.may_borrow = true;
+    return reserve_once(routing, table, &wider, rng);
 }
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -12,6 +12,7 @@
     int64_t expected_ns; ///< run time that is expected; 0 where unknown
     int64_t slack_ns;    ///< time until the job can end at the earliest; 0
                          ///< for a task that others wait for
+    bool may_borrow;     ///< whether slots beyond the own shares count
     int64_t now_ns;
 } route_query_t;
 
@@ -24,7 +25,8 @@
 
 extern const route_ops_t route_table[kRoutingCount];
 
-/// Chooses a target and takes a slot of it.
+/// Chooses a target and takes a slot of it: of the own shares where one is
+/// free, else a borrowed one.
 ///
 /// @return the target, to be given back with target_release; NULL where no
 ///         open target fits
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -8,7 +8,7 @@
 #include "base/counters.h"
 
 #define FULL_NS INT64_C(10000000)       // no more tries after a refusal
-#define OTHERS_NS INT64_C(500000000)    // a reported load is believed so long
+#define OTHERS_NS INT64_C(50000000)     // a reported load is believed so long
 #define ABSENT_NS INT64_C(250000000)    // no new connection after a failure
 #define LEAVING_NS INT64_C(30000000000) // a target's own word holds so long
 #define EJECT_NS INT64_C(1000000000)    // first ejection; doubles each time
@@ -180,7 +180,7 @@
 
 /// @return most tries of this process that may be out on the target
 static uint32_t
-limit_now(const target_t *target, int64_t now_ns)
+limit_now(const target_t *target, bool may_borrow, int64_t now_ns)
 {
     if (atomic_load_explicit(&target->is_on_trial, memory_order_relaxed)) {
         return kTrialOutstanding;
@@ -193,12 +193,12 @@
             atomic_load_explicit(&target->full_limit, memory_order_relaxed);
         return full < share ? full : share;
     }
-    uint32_t borrowed = borrowed_limit(target, now_ns);
+    uint32_t borrowed = may_borrow ? borrowed_limit(target, now_ns) : 0;
     return borrowed > share ? borrowed : share;
 }
 
 bool
-target_is_open(const target_t *target, int64_t now_ns)
+target_is_open(const target_t *target, bool may_borrow, int64_t now_ns)
 {
     if (atomic_load_explicit(&target->is_leaving, memory_order_relaxed) ||
         now_ns < atomic_load_explicit(&target->leaving_until_ns,
@@ -210,13 +210,13 @@
         return false;
     }
     return atomic_load_explicit(&target->outstanding, memory_order_relaxed) <
-           limit_now(target, now_ns);
+           limit_now(target, may_borrow, now_ns);
 }
 
 bool
-target_reserve(target_t *target, int64_t now_ns)
+target_reserve(target_t *target, bool may_borrow, int64_t now_ns)
 {
-    uint32_t limit = limit_now(target, now_ns);
+    uint32_t limit = limit_now(target, may_borrow, now_ns);
     uint32_t held =
         atomic_load_explicit(&target->outstanding, memory_order_relaxed);
     while (held < limit) {
--- a/src/route/target.h
+++ b/src/route/target.h
@@ -91,13 +91,14 @@
 /// @return whether the target is large enough
 bool target_fits(const target_t *target, const needs_t *needs);
 
+/// @param may_borrow  whether slots beyond the own share count
 /// @return whether a try may be sent now
-bool target_is_open(const target_t *target, int64_t now_ns);
+bool target_is_open(const target_t *target, bool may_borrow, int64_t now_ns);
 
 /// Takes a slot. The caller holds the target until target_release.
 ///
 /// @return whether there was one
-bool target_reserve(target_t *target, int64_t now_ns);
+bool target_reserve(target_t *target, bool may_borrow, int64_t now_ns);
 
 /// Gives a slot back, with what was learned.
 ///
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -28,7 +28,7 @@
 static void
 run_try(target_t *target, target_sign_t sign)
 {
-    CU_ASSERT_TRUE_FATAL(target_reserve(target, kNow));
+    CU_ASSERT_TRUE_FATAL(target_reserve(target, true, kNow));
     target_release(target, table, sign, 100, kNow);
 }
 
@@ -52,7 +52,7 @@
 reserve_all(target_t *target)
 {
     uint32_t count = 0;
-    while (target_reserve(target, kNow)) {
+    while (target_reserve(target, true, kNow)) {
         count++;
     }
     return count;
@@ -87,7 +87,7 @@
     release_all(target);
     CU_ASSERT_EQUAL(reserve_all(target), share);
     target_release(target, table, kSignRefused, 0, kNow);
-    CU_ASSERT_FALSE(target_is_open(target, kNow + 1));
+    CU_ASSERT_FALSE(target_is_open(target, true, kNow + 1));
     release_all(target);
     target_table_free(table);
 }
@@ -100,7 +100,7 @@
     uint32_t ejected = 0;
     for (uint32_t i = 0; i < kTargets; i++) {
         run_try(table->targets[i], kSignFailed);
-        ejected += !target_is_open(table->targets[i], kNow + 1);
+        ejected += !target_is_open(table->targets[i], true, kNow + 1);
     }
     CU_ASSERT_EQUAL(ejected, 3);
     target_table_free(table);
@@ -111,12 +111,12 @@
 {
     table = build(NULL, kTargets + 1);
     run_try(table->targets[0], kSignLeaving);
-    CU_ASSERT_FALSE(target_is_open(table->targets[0], kNow + 1));
+    CU_ASSERT_FALSE(target_is_open(table->targets[0], true, kNow + 1));
     target_table_t *next = build(table, kTargets + 1);
     CU_ASSERT_PTR_EQUAL(next->targets[0], table->targets[0]);
     target_table_free(table);
     // The list lags behind the target's own word.
-    CU_ASSERT_FALSE(target_is_open(next->targets[0], kNow + 1));
+    CU_ASSERT_FALSE(target_is_open(next->targets[0], true, kNow + 1));
     target_table_free(next);
 }
 
