--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v generated)
 
 .PHONY: all deps build generate check-generated format check-format lint \
-	unit functional check-model test test-sanitize demo clean
+	unit functional check-model test test-sanitize bench bench-quick demo clean
 
 all: build
 
@@ -57,6 +57,13 @@
 test-sanitize: deps
 	tools/sanitize.sh
 
+# Minutes; prints one table, writes CSV and a plot to bench/out.
+bench: build
+	$(PYTHON) bench/run.py $(BUILD) bench/out
+
+bench-quick: build
+	$(PYTHON) bench/run.py $(BUILD) bench/out --quick
+
 demo: deps
 	$(MAKE) build
 	tools/demo.sh $(BUILD)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -219,8 +219,9 @@
         (delta["frames_in"] + delta["frames_out"]) /
         max(result["jobs"], 1), 2)
     result["starts"] = starts
-    result["doubled"] = sum(cluster.ledger(dc)["doubled"]
-                            for dc in range(1, cluster.dcs + 1))
+    result["doubled"] = sum(
+        cluster.ledger(dc)["doubled"] - ledger[dc - 1]["doubled"]
+        for dc in range(1, cluster.dcs + 1))
     for part, was in cpu.items():
         result[f"{part}_us_per_task"] = round(
             1e6 * (cluster.cpu_s(part) - was) / done, 1)
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,248 @@
+"""Runs the workloads of docs/measurements.md and prints one table.
+
+Usage: run.py BUILD_DIR OUT_DIR [--quick]
+Every comparison is made in one run, with the same seeds, as a ratio.
+"""
+import csv
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+
+from cluster import Cluster, run_load
+
+KUISEB = {"tasks": "1:12", "ms": "50:400"}
+HIVECRAFT = {"tasks": "1:40", "ms": "50:1000", "long": 20}
+DEADLINE = {"deadline": 60000}
+COLUMNS = ["name", "policy", "jobs", "tasks", "complete", "failed", "refused",
+           "cancelled", "broken", "slow_p50", "slow_p99", "slow_p999",
+           "wasted_percent", "frames_per_job", "dispatch_us_per_task",
+           "front_us_per_task", "doubled"]
+
+
+class Report:
+    def __init__(self, out):
+        self.out = pathlib.Path(out)
+        self.out.mkdir(parents=True, exist_ok=True)
+        self.rows = []
+
+    def add(self, name, policy, result):
+        row = {"name": name, "policy": policy, **result}
+        self.rows.append(row)
+        print("  ".join(f"{c}={row.get(c, '')}" for c in COLUMNS), flush=True)
+
+    def write(self):
+        with open(self.out / "results.csv", "w", newline="") as file:
+            writer = csv.DictWriter(file, COLUMNS, extrasaction="ignore")
+            writer.writeheader()
+            writer.writerows(self.rows)
+
+
+def warm(cluster):
+    run_load(cluster, work=cluster.capacity_milli() // 3, duration=1500,
+             seed=99, **DEADLINE)
+
+
+def load_at(cluster, percent, duration, seed=2, **options):
+    return run_load(cluster, work=cluster.capacity_milli() * percent // 100,
+                    duration=duration, seed=seed, **{**DEADLINE, **options})
+
+
+def with_cluster(body, **options):
+    cluster = Cluster(BUILD, **options).start()
+    try:
+        warm(cluster)
+        body(cluster)
+    finally:
+        cluster.stop()
+
+
+def routing(report, policies, percents, duration):
+    """Policies side by side."""
+    for policy in policies:
+        def body(cluster):
+            for percent in percents:
+                report.add(f"load {percent}%", policy,
+                           load_at(cluster, percent, duration, **KUISEB))
+        with_cluster(body, settings={"dispatch": {"routing": policy}})
+
+
+def ordering(report, duration):
+    """A large job beside quotes, under a burst."""
+    for policy in ("fifo", "round_robin", "fewest_left"):
+        def body(cluster):
+            report.add("burst, 1 to 520 tasks", policy,
+                       load_at(cluster, 70, duration, tasks="1:520",
+                               ms="50:200"))
+        with_cluster(body, settings={"dispatch": {"ordering": policy}})
+
+
+def faults(report, duration):
+    """One fault at a time beside the clean run."""
+    def body(cluster):
+        report.add("kuiseb 60%", "slack",
+                   load_at(cluster, 60, duration, **KUISEB))
+        report.add("hivecraft 60%", "slack",
+                   load_at(cluster, 60, duration, **HIVECRAFT))
+        report.add("burst of 10 times at 20%", "slack",
+                   load_at(cluster, 20, duration, burst=10, **KUISEB))
+        report.add("declared times off by 10", "slack",
+                   load_at(cluster, 60, duration, wrong=10, **KUISEB))
+        report.add("impossible 5%", "slack",
+                   load_at(cluster, 60, duration, impossible=50, **KUISEB))
+        report.add("half cancelled", "slack",
+                   load_at(cluster, 60, duration, cancel=500, **KUISEB))
+        cluster.set_targets("runner=all&stragglers=50")
+        report.add("stragglers 5%", "slack",
+                   load_at(cluster, 60, duration, **KUISEB))
+        cluster.set_targets("runner=0&mode=fail")
+        report.add("stragglers 5%, one bad worker", "slack",
+                   load_at(cluster, 60, duration, **KUISEB))
+        cluster.set_targets("runner=all&stragglers=0")
+        report.add("one bad worker", "slack",
+                   load_at(cluster, 60, duration, **KUISEB))
+        cluster.set_targets("runner=0&mode=serve")
+        for n in range(0, 50, 3):
+            cluster.set_targets(f"runner={n}&leaving=1")
+        report.add("a third of the targets leaving", "slack",
+                   load_at(cluster, 40, duration, **KUISEB))
+    with_cluster(body)
+
+
+def killed(report, duration):
+    """An entry VM is killed halfway."""
+    def body(cluster):
+        def kill():
+            time.sleep(duration / 2000)
+            for part in ("front", "dispatch", "agent"):
+                cluster.kill(f"{part}12")
+        thread = threading.Thread(target=kill)
+        thread.start()
+        report.add("entry VM killed", "slack",
+                   load_at(cluster, 40, duration, **KUISEB))
+        thread.join()
+    with_cluster(body)
+
+
+def quota(report, duration):
+    """One team asks for 10 times its quota beside 20 that keep theirs."""
+    rate = 40
+    def body(cluster):
+        result = run_load(cluster, rate=30 * 1000 // 4, duration=duration,
+                          tasks="4:4", ms="50:50", teams=21, greedy=33,
+                          seed=5, **DEADLINE)
+        report.add("one team over its quota", "slack", result)
+        result = run_load(cluster, rate=125 * 1000, duration=duration,
+                          tasks="4:4", ms="50:50", teams=21, greedy=80,
+                          seed=6, **DEADLINE)
+        report.add("one team at 10 times its quota", "slack", result)
+        print(f"  refused of team t0: {result['refused_first']} of "
+              f"{result['refused']} refused; t0 had "
+              f"{int(result['jobs'] * 0.81) - result['refused_first']} jobs "
+              f"in {duration / 1000} s against {rate / 4} a second")
+    with_cluster(body, teams=21, quota={"tasks_per_s": rate})
+
+
+def idle(report, seconds):
+    """Messages and wake-ups of an idle system, and the first job after."""
+    def body(cluster):
+        time.sleep(2)
+        parts = ("front", "dispatch", "agent")
+        before = {p: cluster.counters(p) for p in parts}
+        cpu = {p: cluster.cpu_s(p) for p in parts}
+        time.sleep(seconds)
+        for part in parts:
+            after = cluster.counters(part)
+            delta = {k: after[k] - before[part][k] for k in after}
+            # Each dump costs a connection, a hello, a request and a reply.
+            messages = delta["frames_in"] + delta["frames_out"] - 4 * 2 + \
+                2 * delta["platform_requests"]
+            cpu_ms = 1000 * (cluster.cpu_s(part) - cpu[part])
+            print(f"  idle {part}: {max(messages, 0) / seconds / 2:.2f} "
+                  f"messages/s, {delta['wakeups'] / seconds / 2:.2f} "
+                  f"wake-ups/s, {cpu_ms / seconds / 2:.2f} ms processor/s "
+                  "a process", flush=True)
+    with_cluster(body, poll_ms=5000)
+
+
+def throughput(report, seconds):
+    """One dispatcher on two threads beside a bare libcurl loop, on instant
+    stand-ins."""
+    options = {"vms": 1, "spread": 1, "target_threads": 3,
+               "settings": {"dispatch": {"shards": 2,
+                                         "queue_limit": 1000000}}}
+    def body(cluster):
+        urls = [f"http://{cluster.target(1, n)}:9000" for n in range(50)]
+        bare = {}  # its task ids repeat; the ledger counts them as doubled
+        for connections in (50, 100, 200):
+            bare[connections] = int(subprocess.run(
+                [str(cluster.build / "bare-loop"), "2", str(connections),
+                 str(seconds)] + urls, capture_output=True, text=True,
+                check=True).stdout)
+        started = time.time()
+        result = run_load(cluster, rate=2500 * 1000, duration=seconds * 1000,
+                          tasks="20:20", ms="0:0", seed=2, threads=2,
+                          deadline=60000)
+        rate = result["complete_tasks"] / (time.time() - started)
+        report.add("instant tasks, 2 threads", "slack", result)
+        print(f"  bare loop, by connections a thread: {bare}")
+        print(f"  dispatcher: {rate:.0f} starts/s, "
+              f"{rate / bare[200]:.2f} of bare at 200", flush=True)
+    with_cluster(body, **options)
+
+
+def virtual(counts):
+    """The decisions alone, by number of targets."""
+    for targets in counts:
+        capacity = targets * 8 * 462
+        process = subprocess.run(
+            [f"{BUILD}/jt-load", "--virtual", "--targets", str(targets),
+             "--work", str(capacity * 60 // 100), "--capacity",
+             str(capacity), "--duration",
+             str(max(3000, 3000000 // targets))],
+            capture_output=True, text=True, check=True)
+        values = process.stdout.split()[1].split(",")
+        print(f"  virtual, {targets} targets at 60%: median "
+              f"{int(values[9]) / 1000} p99 {int(values[10]) / 1000}; "
+              f"{process.stderr.strip()}", flush=True)
+
+
+def plot(report):
+    script = report.out / "slowdown.gp"
+    script.write_text(
+        "set terminal pngcairo size 900,500\n"
+        f"set output '{report.out}/slowdown.png'\n"
+        "set datafile separator ','\nset style data histogram\n"
+        "set style fill solid\nset logscale y\n"
+        "set ylabel 'response over ideal, 1/1000'\n"
+        "set xtics rotate by -35\n"
+        f"plot '{report.out}/results.csv' every ::1 using 10:xtic(1) "
+        "title 'median', '' every ::1 using 11 title 'p99'\n")
+    subprocess.run(["gnuplot", str(script)], check=False)
+
+
+def main(out, is_quick):
+    report = Report(out)
+    if is_quick:
+        routing(report, ("expected", "slack"), (60,), 4000)
+        idle(report, 5)
+        throughput(report, 2)
+        virtual((50, 500))
+    else:
+        routing(report, ("random", "least_outstanding", "two_choices",
+                         "expected", "slack"), (30, 60, 80, 95), 8000)
+        ordering(report, 8000)
+        faults(report, 8000)
+        killed(report, 8000)
+        quota(report, 8000)
+        idle(report, 20)
+        throughput(report, 3)
+        virtual((50, 200, 500, 1000, 1900))
+    report.write()
+    plot(report)
+
+
+if __name__ == "__main__":
+    BUILD = sys.argv[1]
+    main(sys.argv[2], "--quick" in sys.argv)
--- a/src/base/arena.h
+++ b/src/base/arena.h
@@ -13,7 +13,7 @@
 /// @return the arena; end it with arena_destroy
 arena_t *arena_create(void);
 
-/// Frees all memory of an arena.
+/// Frees all memory of an arena; any thread. NULL is let be.
 void arena_destroy(arena_t *arena);
 
 /// Copies bytes into an arena and adds a NUL after them.
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -259,7 +259,7 @@
                          .virtual = {.target_count = 50,
                                      .slots = 8,
                                      .spread = 4,
-                                     .routing = kRoutingExpected,
+                                     .routing = kRoutingSlack,
                                      .ordering = kOrderingRoundRobin}};
     static load_result_t result;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -9,7 +9,12 @@
 #include "base/counters.h"
 #include "shell/clock.h"
 
-enum { kSpareHandles = 4096, kFirstBodyBytes = 1024, kHeaderMaxBytes = 128 };
+enum {
+    kSpareHandles = 4096,
+    kFirstBodyBytes = 1024,
+    kHeaderMaxBytes = 128,
+    kHeaderLimit = 8
+};
 
 /// A socket of libcurl's.
 typedef struct {
@@ -33,7 +38,10 @@
 struct http_request {
     http_client_t *client;
     CURL *easy;
-    struct curl_slist *headers;
+    struct curl_slist headers[kHeaderLimit]; ///< point at the caller's text
+    const char *method; ///< set in the handle, as the two limits below
+    uint32_t connect_limit_ms;
+    uint32_t idle_trust_ms;
     http_done_t on_done;
     void *owner;
     http_reply_t reply;
@@ -164,8 +172,6 @@
         request->next->prev = request->prev;
     }
     curl_multi_remove_handle(client->multi, request->easy);
-    curl_slist_free_all(request->headers);
-    request->headers = NULL;
 }
 
 static void
@@ -392,25 +398,62 @@
     return request;
 }
 
+/// Lines up the headers for libcurl, without copies.
+///
+/// @return the first, or NULL
+static struct curl_slist *
+link_headers(http_request_t *request, const char *const *headers)
+{
+    uint32_t count = 0;
+    while (headers != NULL && headers[count] != NULL && count < kHeaderLimit) {
+        request->headers[count] =
+            (struct curl_slist){.data = (char *)headers[count]};
+        if (count > 0) {
+            request->headers[count - 1].next = &request->headers[count];
+        }
+        count++;
+    }
+    return count == 0 ? NULL : request->headers;
+}
+
+/// Sets the method, and the limits that seldom change, where they differ
+/// from those of the request before on this handle.
+static void
+set_lasting_options(http_request_t *request, const http_spec_t *spec)
+{
+    CURL *easy = request->easy;
+    if (request->method != spec->method) {
+        request->method = spec->method;
+        bool is_get = strcmp(spec->method, "GET") == 0;
+        bool is_post = strcmp(spec->method, "POST") == 0;
+        curl_easy_setopt(easy, is_get ? CURLOPT_HTTPGET : CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST,
+                         is_get || is_post ? NULL : spec->method);
+    }
+    if (request->connect_limit_ms != spec->connect_limit_ms) {
+        request->connect_limit_ms = spec->connect_limit_ms;
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                         (long)spec->connect_limit_ms);
+    }
+    if (request->idle_trust_ms != spec->idle_trust_ms) {
+        request->idle_trust_ms = spec->idle_trust_ms;
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                         (long)(spec->idle_trust_ms + 999) / 1000);
+    }
+}
+
 static void
 set_options(http_request_t *request, const http_spec_t *spec)
 {
     CURL *easy = request->easy;
     uint32_t left_ms = clock_left_ms(spec->deadline_ns);
-    long trust_s = (long)(spec->idle_trust_ms + 999) / 1000;
+    set_lasting_options(request, spec);
     curl_easy_setopt(easy, CURLOPT_URL, spec->url);
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, spec->method);
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->headers);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER,
+                     link_headers(request, spec->headers));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                      left_ms > 0 ? (long)left_ms : 1L);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)spec->connect_limit_ms);
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, trust_s);
-    if (strcmp(spec->method, "GET") == 0) {
-        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
-    }
-    else {
-        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    if (strcmp(spec->method, "GET") != 0) {
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
                          spec->body.data == NULL ? (const uint8_t *)""
                                                  : spec->body.data);
@@ -435,10 +478,6 @@
         client->active->prev = request;
     }
     client->active = request;
-    for (const char *const *header = spec->headers;
-         header != NULL && *header != NULL; header++) {
-        request->headers = curl_slist_append(request->headers, *header);
-    }
     set_options(request, spec);
     curl_multi_add_handle(client->multi, request->easy);
     return request;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -35,9 +35,9 @@
 
 /// What to send. Strings and body must last until the request ends.
 typedef struct {
-    const char *method;
+    const char *method; ///< a constant of the program
     const char *url;
-    const char *const *headers; ///< "Name: value", ends with NULL
+    const char *const *headers; ///< at most 8 "Name: value", ends with NULL
     bytes_t body;
     const char *mark; ///< header line that the answer must carry, or NULL
     int64_t deadline_ns;
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -3,8 +3,9 @@
 #include <stddef.h>
 
 enum {
-    kReserveTries = 4, ///< another thread may take the slot first
-    kSampleSize = 64   ///< targets that "expected" compares at most
+    kReserveTries = 4,   ///< another thread may take the slot first
+    kSampleSize = 64,    ///< targets that are compared at most
+    kSampleStride = 7919 ///< a prime that no table's size shares
 };
 
 static bool
@@ -73,6 +74,15 @@
     return load_of(second) < load_of(first) ? second : first;
 }
 
+/// @return target i of a sample that is spread over the whole table, whatever
+/// order it has
+static target_t *
+sample(const target_table_t *table, uint32_t start, uint32_t i)
+{
+    uint64_t place = start + (uint64_t)i * kSampleStride;
+    return table->targets[place % table->count];
+}
+
 /// @return the fastest candidate of a sample, or NULL
 static target_t *
 choose_expected(const target_table_t *table, const route_query_t *query,
@@ -82,7 +92,7 @@
     uint32_t seen_count = 0;
     uint32_t start = rng_below(rng, table->count);
     for (uint32_t i = 0; i < table->count && seen_count < kSampleSize; i++) {
-        target_t *target = table->targets[(start + i) % table->count];
+        target_t *target = sample(table, start, i);
         if (!is_candidate(target, query)) {
             continue;
         }
@@ -111,7 +121,7 @@
     int64_t room =
         target_excess_millibits(query->slack_ns, query->expected_ns);
     for (uint32_t i = 0; i < table->count && seen_count < kSampleSize; i++) {
-        target_t *target = table->targets[(start + i) % table->count];
+        target_t *target = sample(table, start, i);
         if (!is_candidate(target, query)) {
             continue;
         }
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -23,6 +23,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/rng.h"
 #include "shell/clock.h"
 #include "support/http_server.h"
 
@@ -61,6 +62,8 @@
     _Atomic int32_t mode_count; ///< tasks that the mode is for; -1 for all
     _Atomic uint32_t slots;
     _Atomic uint32_t speed_percent;
+    _Atomic uint32_t straggler_per_mille; ///< tasks that take 10 times as long
+    rng_t rng;                            ///< own thread only
     _Atomic bool is_leaving;
     _Atomic uint64_t start_count;
 } runner_t;
@@ -225,6 +228,10 @@
     uint64_t task_ms = ms_text == NULL ? 0 : strtoull(ms_text + 3, NULL, 10);
     uint64_t length_ns =
         task_ms * kNsPerMs * atomic_load(&runner->speed_percent) / 100;
+    if (rng_below(&runner->rng, 1000) <
+        atomic_load(&runner->straggler_per_mille)) {
+        length_ns *= 10;
+    }
     runner_mode_t mode = next_mode(runner, request);
     if (mode == kModeRefuse || atomic_load(&runner->is_leaving) ||
         runner->busy >= atomic_load(&runner->slots)) {
@@ -295,6 +302,10 @@
         atomic_store(&runner->speed_percent,
                      (uint32_t)strtoul(at + 6, NULL, 10));
     }
+    if ((at = strstr(query, "stragglers=")) != NULL) {
+        atomic_store(&runner->straggler_per_mille,
+                     (uint32_t)strtoul(at + 11, NULL, 10));
+    }
     if ((at = strstr(query, "leaving=")) != NULL) {
         atomic_store(&runner->is_leaving, at[8] == '1');
     }
@@ -473,6 +484,7 @@
     address.s_addr = htonl(ntohl(address.s_addr) + number);
     inet_ntop(AF_INET, &address, runner->address, sizeof runner->address);
     runner->number = number;
+    runner->rng.state = number;
     runner->thread = &standin.threads[number % standin.thread_count];
     runner->server = (server_t){.loop = runner->thread->loop,
                                 .serve = serve_runner,
