--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 # Thin front of the CMake build.
 BUILD ?= build
+SEED ?= 1
+STEPS ?= 24
 JOBS ?= $(shell nproc)
 PYTHON ?= /usr/bin/python3
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v generated)
 
 .PHONY: all deps build generate check-generated format check-format lint \
-	unit functional check-model test test-sanitize bench bench-quick demo clean
+	unit functional check-model test test-faults check-mutants sanitize fuzz bench bench-quick demo clean
 
 all: build
 
@@ -17,16 +19,17 @@
 	cmake --build $(BUILD) -j $(JOBS) -- --no-print-directory
 
 generate:
-	$(PYTHON) gen/generate.py schema src/generated
+	$(PYTHON) gen/generate.py schema src/generated docs/reference.md
 	clang-format -i src/generated/*.c src/generated/*.h
 
 # Fails where the committed code differs from what the schema gives.
 check-generated:
 	rm -rf $(BUILD)/generated
-	$(PYTHON) gen/generate.py schema $(BUILD)/generated
+	$(PYTHON) gen/generate.py schema $(BUILD)/generated $(BUILD)/reference.md
 	cp .clang-format $(BUILD)/
 	clang-format -i $(BUILD)/generated/*.c $(BUILD)/generated/*.h
 	diff -r $(BUILD)/generated src/generated
+	diff $(BUILD)/reference.md docs/reference.md
 
 format:
 	clang-format -i $(SOURCES)
@@ -54,8 +57,20 @@
 	$(MAKE) check-model
 	tools/run-tests.sh $(BUILD)
 
-test-sanitize: deps
-	tools/sanitize.sh
+# Seeded faults together: make test-faults SEED=7 STEPS=50
+test-faults: build
+	JT_BUILD=$(BUILD) JT_SEED=$(SEED) JT_STEPS=$(STEPS) \
+		$(BUILD)/functional_test_schedule
+
+# Takes one guard away at a time; a test must fail without it.
+check-mutants:
+	tools/mutants.sh
+
+sanitize:
+	tools/sanitize.sh $(BUILD)
+
+fuzz:
+	tools/fuzz.sh $(BUILD)
 
 # Minutes; prints one table, writes CSV and a plot to bench/out.
 bench: build
--- a/gen/generate.py
+++ b/gen/generate.py
@@ -1,7 +1,8 @@
 """Generates src/generated/ from schema/.
 
-Usage: generate.py SCHEMA_DIR OUTPUT_DIR
+Usage: generate.py SCHEMA_DIR OUTPUT_DIR REFERENCE_FILE
 Each schema file is a declarative table; each output is a .c and .h pair.
+The reference page lists all of them for readers.
 """
 import pathlib
 import sys
@@ -64,7 +65,7 @@
     path.write_text(text.rstrip() + "\n")
 
 
-def main(schema_dir, out_dir):
+def main(schema_dir, out_dir, reference):
     schema, out = pathlib.Path(schema_dir), pathlib.Path(out_dir)
     out.mkdir(parents=True, exist_ok=True)
     templates = pathlib.Path(__file__).parent / "templates"
@@ -77,13 +78,17 @@
             ("documents", "records", load_records),
             ("settings", "records", load_records),
             ("messages", "records", load_records)]
+    tables = {}
     for name, template, prepare in plan:
         table = prepare(yaml.safe_load((schema / f"{name}.yaml").read_text()))
+        tables[name] = table
         for ext in ("h", "c"):
             text = env.get_template(f"{template}.{ext}.j2").render(
                 name=name, imports=table.get("imports", []), table=table)
             write(out / f"{name}.{ext}", text)
+    write(pathlib.Path(reference),
+          env.get_template("reference.md.j2").render(tables=tables))
 
 
 if __name__ == "__main__":
-    main(*sys.argv[1:3])
+    main(*sys.argv[1:4])
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -56,8 +56,16 @@
 void
 agent_take_members(agent_t *agent, const vm_entry_t *vms, uint32_t vm_count)
 {
-    if (agent->members->version > 0 &&
-        members_equal(agent->members, vms, vm_count)) {
+    bool is_known = agent->members->version > 0;
+    if (is_known && members_equal(agent->members, vms, vm_count)) {
+        return;
+    }
+    // A list without any entry VM is a fault of the platform. Taken at its
+    // word, it would end every home.
+    if (!members_has_entry(vms, vm_count)) {
+        if (is_known) {
+            log_event("members_refused", "vms=%u", vm_count);
+        }
         return;
     }
     members_t *old = agent->members;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -13,6 +13,7 @@
 #include "dispatch/blob.h"
 #include "dispatch/view.h"
 #include "generated/settings.h"
+#include "limit/retry_budget.h"
 #include "net/conn.h"
 #include "net/http_client.h"
 #include "net/listener.h"
@@ -65,6 +66,7 @@
     uint32_t backoff_count; ///< tasks that wait for their next try's time
     int64_t service_ns;     ///< mean time of done tries
     estimate_t estimate;
+    retry_budget_t retries;
     adopted_t *adopted; ///< records of stopped peers; shard 0 only
 
     _Atomic uint32_t active_count; ///< jobs that have not ended
--- a/src/dispatch/shard.c
+++ b/src/dispatch/shard.c
@@ -379,6 +379,7 @@
                               dispatch->shard_count);
     shard->waiting = waiting_create(dispatch->settings->ordering);
     shard->rng.state = app_random();
+    retry_budget_init(&shard->retries);
     loop_timer_init(&shard->hold_timer, jobs_end_hold, shard);
     loop_timer_init(&shard->pump_timer, tries_pump_again, shard);
 }
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -16,6 +16,7 @@
     kPumpAgainMs = 5,
     kBackoffFirstMs = 2,
     kBackoffMaxMs = 200,
+    kBackoffDoublings = 7, ///< then the pause is the longest
     kMeanWeight = 16
 };
 
@@ -206,6 +207,9 @@
                         .on_done = on_reply,
                         .owner = try};
     counter_add(kCounterTriesStarted, 1);
+    if (record->job.tasks[task].try_count == 1) {
+        retry_budget_earn(&shard->retries);
+    }
     atomic_fetch_add_explicit(&shard->started_count, 1, memory_order_relaxed);
     record->tries[task] = try;
     try->request = http_client_start(shard->http, &spec);
@@ -309,18 +313,21 @@
     free(backoff);
 }
 
-/// @return pause before a try, doubled each time, with jitter; 0 before the
-/// second
+/// @return pause before the next try: none before the second, then doubled
+/// each time, with jitter; the longest where the retry budget is empty
 static int64_t
 pause_ns(shard_t *shard, uint32_t try_count)
 {
-    if (try_count <= 1) {
+    bool is_affordable = retry_budget_take(&shard->retries);
+    if (is_affordable && try_count <= 1) {
         return 0;
     }
-    uint32_t doublings = try_count - 2 < 10 ? try_count - 2 : 10;
-    uint32_t top_ms = (uint32_t)kBackoffFirstMs << doublings;
-    if (top_ms > kBackoffMaxMs) {
-        top_ms = kBackoffMaxMs;
+    uint32_t top_ms = kBackoffMaxMs;
+    if (!is_affordable) {
+        counter_add(kCounterRetryBudgetEmpty, 1);
+    }
+    else if (try_count - 2 < kBackoffDoublings) {
+        top_ms = (uint32_t)kBackoffFirstMs << (try_count - 2);
     }
     return (int64_t)(top_ms / 2 + rng_below(&shard->rng, top_ms)) * kNsPerMs;
 }
--- a/src/front/http.c
+++ b/src/front/http.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
+#include <urcu-bp.h>
 
 #include "base/counters.h"
 #include "codec/json.h"
@@ -143,11 +144,17 @@
     return start_call(exchange, kCallCancel);
 }
 
+/// Says whether callers should come here: not before a list of VMs is known,
+/// nor once the front is stopping.
 static enum MHD_Result
 serve_health(exchange_t *exchange)
 {
+    front_t *front = exchange->front;
+    rcu_read_lock();
+    bool is_ready = rcu_dereference(front->members)->version > 0;
+    rcu_read_unlock();
     return replies_send_health(exchange->connection,
-                               atomic_load(&exchange->front->is_draining));
+                               is_ready && !atomic_load(&front->is_draining));
 }
 
 static const route_t routes[] = {
--- a/src/front/replies.c
+++ b/src/front/replies.c
@@ -93,11 +93,11 @@
 }
 
 enum MHD_Result
-replies_send_health(struct MHD_Connection *connection, bool is_draining)
+replies_send_health(struct MHD_Connection *connection, bool is_serving)
 {
     return send_response(
-        connection, is_draining ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_OK,
-        create_json(is_draining ? "{\"state\":\"draining\"}"
-                                : "{\"state\":\"serving\"}"),
-        is_draining);
+        connection, is_serving ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+        create_json(is_serving ? "{\"state\":\"serving\"}"
+                               : "{\"state\":\"not serving\"}"),
+        !is_serving);
 }
--- a/src/front/replies.h
+++ b/src/front/replies.h
@@ -22,6 +22,6 @@
 
 /// Says whether new callers should come here.
 enum MHD_Result replies_send_health(struct MHD_Connection *connection,
-                                    bool is_draining);
+                                    bool is_serving);
 
 #endif
--- a/src/member/members.c
+++ b/src/member/members.c
@@ -53,6 +53,17 @@
     return count == 0 ? 1 : count;
 }
 
+bool
+members_has_entry(const vm_entry_t *vms, uint32_t vm_count)
+{
+    for (uint32_t i = 0; i < vm_count; i++) {
+        if (vms[i].role == kVmRoleEntry) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 entries_equal(const vm_entry_t *left, const vm_entry_t *right)
 {
--- a/src/member/members.h
+++ b/src/member/members.h
@@ -26,6 +26,9 @@
 /// @return the number of live entry VMs of all data centres, at least 1
 uint32_t members_count_entries(const members_t *members);
 
+/// @return whether a list names any entry VM
+bool members_has_entry(const vm_entry_t *vms, uint32_t vm_count);
+
 /// @return whether two lists say the same
 bool members_equal(const members_t *members, const vm_entry_t *vms,
                    uint32_t vm_count);
--- a/tests/functional/test_platform.c
+++ b/tests/functional/test_platform.c
@@ -1,6 +1,7 @@
 /// The platform out, slow, or losing replies; operators that race.
 #include <apr_general.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "support/cluster.h"
@@ -179,6 +180,44 @@
     CU_ASSERT_STRING_EQUAL(strchr(first, '\n'), strchr(output, '\n'));
 }
 
+/// A wait until the agents of both VMs have seen the list.
+static bool
+is_list_refused(void *state)
+{
+    (void)state;
+    for (uint32_t vm = 0; vm < cluster.vm_count; vm++) {
+        char command[256];
+        snprintf(command, sizeof command,
+                 "grep -q members_refused '%s/%u-agent.log'", cluster.folder,
+                 cluster.vms[vm].number);
+        if (system(command) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// A platform that lists no VM is not believed: ids keep their homes.
+static void
+test_empty_list(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    caller_request_t put_list;
+    cluster_job(job, sizeof job, 2, 5, 10000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    caller_ask(&put_list, "PUT", "{\"vms\":[]}",
+               "http://127.%u.0.1:7300/standin/vms", cluster.net);
+    caller_free(&put_list, 1);
+    cluster_wait(is_list_refused, NULL, "an agent refuses the list");
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &request), 200);
+    caller_free(&request, 1);
+    cluster_list_vms(&cluster, UINT32_MAX, UINT32_MAX);
+}
+
 static void
 test_status(void)
 {
@@ -199,6 +238,7 @@
         {"outage", test_outage},
         {"start during an outage", test_start_during_outage},
         {"snapshot and trim", test_snapshot_and_trim},
+        {"empty list", test_empty_list},
         {"status", test_status},
         CU_TEST_INFO_NULL};
     apr_initialize();
--- a/tests/functional/test_resubmit.c
+++ b/tests/functional/test_resubmit.c
@@ -1,11 +1,12 @@
 /// Resubmission: one start a task and one answer, whatever the caller does.
 #include <apr_general.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "support/cluster.h"
 #include "support/suite.h"
 
-enum { kCopies = 50, kTasks = 5, kJobBytes = 4096 };
+enum { kCopies = 50, kTasks = 5, kJobBytes = 4096, kLargeBytes = 5000000 };
 
 static cluster_t cluster;
 
@@ -122,6 +123,22 @@
     CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
 }
 
+/// A body over the limit is refused whole.
+static void
+test_too_large(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t request;
+    char *body = malloc(kLargeBytes + 1);
+    memset(body, ' ', kLargeBytes);
+    body[kLargeBytes] = '\0';
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, body, &request), 413);
+    CU_ASSERT(request.is_not_run);
+    caller_free(&request, 1);
+    free(body);
+}
+
 /// A cancelled job ends, with a state for each task and no result.
 static void
 test_cancel(void)
@@ -156,6 +173,7 @@
         {"another body", test_other_body},
         {"guessed id", test_guessed_id},
         {"bad jobs", test_bad_jobs},
+        {"too large", test_too_large},
         {"cancel", test_cancel},
         CU_TEST_INFO_NULL};
     apr_initialize();
--- /dev/null
+++ b/tests/functional/test_schedule.c
@@ -0,0 +1,322 @@
+/// Any faults together: a seeded schedule of kills, freezes, cuts, outages,
+/// silent connections, bad targets and planned stops under load. At the end
+/// the targets' ledgers are held against the answers.
+///
+/// JT_SEED sets the seed, JT_STEPS the number of faults.
+#include <apr_general.h>
+#include <apr_thread_proc.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "support/cluster.h"
+#include "support/suite.h"
+
+enum {
+    kLoads = 6,
+    kJobsOfLoad = 4000,
+    kTasks = 3,
+    kJobBytes = 1024,
+    kStepUs = 150000,
+    kDefaultSteps = 24,
+    kMostAsks = 3
+};
+
+/// A job that a load submitted, and what it was told.
+typedef struct {
+    char id[kCallerIdBytes];
+    char *definite; ///< the first answer that is for good
+    bool is_complete;
+    bool is_not_run;
+    bool is_contradicted;
+} told_t;
+
+typedef struct {
+    apr_thread_t *thread;
+    rng_t rng;
+    told_t *told;
+    uint32_t count;
+} load_t;
+
+static cluster_t cluster;
+static load_t loads[kLoads];
+static _Atomic bool is_over;
+
+/// @return whether an answer is one that each later one must equal. What
+/// says that the home is over, out of reach or has forgotten may differ.
+static bool
+is_definite(const caller_request_t *request)
+{
+    return request->status != 0 &&
+           !caller_has(request, "\"kind\":\"home_lost\"") &&
+           !caller_has(request, "\"kind\":\"home_unreachable\"") &&
+           !caller_has(request, "\"kind\":\"forgotten\"") &&
+           !caller_has(request, "\"kind\":\"timeout\"") &&
+           !caller_has(request, "\"state\":\"running\"") &&
+           !caller_has(request, "\"state\":\"queued\"");
+}
+
+/// Holds an answer against what was told before.
+static void
+note_answer(told_t *told, const caller_request_t *request)
+{
+    if (!is_definite(request)) {
+        return;
+    }
+    if (told->definite == NULL) {
+        told->definite = strdup(request->reply);
+        told->is_complete = request->status == 200;
+        told->is_not_run = request->is_not_run;
+        return;
+    }
+    if (strcmp(told->definite, request->reply) != 0) {
+        told->is_contradicted = true;
+        fprintf(stderr, "%s\nfirst: %s\nthen: %s\n", told->id, told->definite,
+                request->reply);
+    }
+}
+
+/// Submits one job, up to a few times, through any fronts.
+static void
+submit_job(load_t *load, const char *job)
+{
+    caller_request_t request;
+    uint32_t front = rng_below(&load->rng, cluster.vm_count);
+    caller_ask(&request, "POST", "", "http://%s:8080/v1/jobs",
+               cluster.vms[front].address);
+    bool is_minted = request.status == 307;
+    told_t *told = &load->told[load->count];
+    if (is_minted) {
+        snprintf(told->id, sizeof told->id, "%s",
+                 strrchr(request.location, '/') + 1);
+        load->count++;
+    }
+    caller_free(&request, 1);
+    for (uint32_t i = 0; is_minted && i < kMostAsks; i++) {
+        cluster_submit(&cluster, front, told->id, job, &request);
+        note_answer(told, &request);
+        caller_free(&request, 1);
+        if (told->definite != NULL && rng_below(&load->rng, 4) != 0) {
+            return;
+        }
+        front = rng_below(&load->rng, cluster.vm_count);
+    }
+}
+
+static void *APR_THREAD_FUNC
+run_load(apr_thread_t *thread, void *owner)
+{
+    (void)thread;
+    load_t *load = owner;
+    while (!atomic_load(&is_over) && load->count < kJobsOfLoad) {
+        char job[kJobBytes];
+        cluster_job(job, sizeof job, kTasks, 5 + rng_below(&load->rng, 80),
+                    3000);
+        submit_job(load, job);
+    }
+    return NULL;
+}
+
+static void
+restart_killed(uint32_t vm, part_t part)
+{
+    cluster_signal(&cluster, vm, part, SIGKILL);
+    cluster_join_part(&cluster, vm, part);
+    apr_sleep(kStepUs);
+    cluster_start_part(&cluster, vm, part);
+}
+
+static void
+fault_kill(rng_t *rng)
+{
+    restart_killed(rng_below(rng, cluster.vm_count),
+                   rng_below(rng, kPartCount));
+}
+
+static void
+fault_freeze(rng_t *rng)
+{
+    uint32_t vm = rng_below(rng, cluster.vm_count);
+    part_t part = rng_below(rng, kPartCount);
+    cluster_signal(&cluster, vm, part, SIGSTOP);
+    apr_sleep(kStepUs * (1 + rng_below(rng, 6)));
+    cluster_signal(&cluster, vm, part, SIGCONT);
+}
+
+static void
+fault_stop(rng_t *rng)
+{
+    uint32_t vm = rng_below(rng, cluster.vm_count);
+    cluster_signal(&cluster, vm, kPartDispatch, SIGTERM);
+    cluster_join_part(&cluster, vm, kPartDispatch);
+    cluster_start_part(&cluster, vm, kPartDispatch);
+}
+
+static void
+fault_forget(rng_t *rng)
+{
+    (void)rng;
+    cluster_set_middle(&cluster, "forget=1");
+}
+
+static void
+fault_cut(rng_t *rng)
+{
+    char query[16];
+    snprintf(query, sizeof query, "cut=%u", 1 + rng_below(rng, 2));
+    cluster_set_middle(&cluster, query);
+    apr_sleep(kStepUs * (1 + rng_below(rng, 6)));
+    cluster_set_middle(&cluster, "cut=0");
+}
+
+static void
+fault_platform(rng_t *rng)
+{
+    static const char *const queries[] = {"outage=1", "slow_ms=300",
+                                          "lose_replies=3"};
+    cluster_set_platform(&cluster, queries[rng_below(rng, 3)]);
+    apr_sleep(kStepUs * (1 + rng_below(rng, 3)));
+    cluster_set_platform(&cluster, "outage=0&slow_ms=0&lose_replies=0");
+}
+
+static void
+fault_targets(rng_t *rng)
+{
+    static const char *const modes[] = {"close", "close_reused", "half",
+                                        "twice", "late",         "silent",
+                                        "fail",  "refuse"};
+    char query[64];
+    snprintf(query, sizeof query, "runner=%u&mode=%s&count=%u",
+             rng_below(rng, 4), modes[rng_below(rng, 8)],
+             1 + rng_below(rng, 20));
+    cluster_set_targets(&cluster, 1 + rng_below(rng, 2), query);
+}
+
+static void
+fault_leaving(rng_t *rng)
+{
+    uint32_t dc = 1 + rng_below(rng, 2);
+    char query[64];
+    snprintf(query, sizeof query, "runner=%u&leaving=1", rng_below(rng, 4));
+    cluster_set_targets(&cluster, dc, query);
+    apr_sleep(kStepUs);
+    cluster_set_targets(&cluster, dc, "runner=all&leaving=0");
+}
+
+static void
+fault_list(rng_t *rng)
+{
+    // The list is wrong about a VM that lives.
+    cluster_list_vms(&cluster, rng_below(rng, cluster.vm_count), UINT32_MAX);
+    apr_sleep(kStepUs);
+    cluster_list_vms(&cluster, UINT32_MAX, UINT32_MAX);
+}
+
+typedef void (*fault_t)(rng_t *rng);
+
+static const fault_t fault_table[] = {
+    fault_kill,     fault_freeze,  fault_stop,    fault_forget,  fault_cut,
+    fault_platform, fault_targets, fault_targets, fault_leaving, fault_list};
+
+enum { kFaultCount = sizeof fault_table / sizeof fault_table[0] };
+
+static uint64_t
+number_from(const char *name, uint64_t absent)
+{
+    const char *text = getenv(name);
+    return text == NULL ? absent : strtoull(text, NULL, 10);
+}
+
+/// @return starts of a task, over both data centres
+static uint32_t
+count_starts(const char *id, uint32_t task)
+{
+    uint64_t starts = 0;
+    for (uint32_t dc = 1; dc <= 2; dc++) {
+        caller_request_t request;
+        caller_ask(&request, "GET", NULL,
+                   "http://127.%u.%u.1:9001/standin/task?id=%s.%u",
+                   cluster.net, 100 + dc, id, task);
+        starts += caller_number(&request, "starts");
+        caller_free(&request, 1);
+    }
+    return (uint32_t)starts;
+}
+
+/// Holds what a caller was told against the starts that targets counted.
+static void
+check_told(const told_t *told)
+{
+    CU_ASSERT_FALSE(told->is_contradicted);
+    for (uint32_t task = 0; task < kTasks; task++) {
+        uint32_t starts = count_starts(told->id, task);
+        CU_ASSERT(starts <= 1);
+        CU_ASSERT(!told->is_complete || starts == 1);
+        CU_ASSERT(!told->is_not_run || starts == 0);
+    }
+}
+
+static void
+test_schedule(void)
+{
+    uint64_t seed = number_from("JT_SEED", 1);
+    uint64_t steps = number_from("JT_STEPS", kDefaultSteps);
+    rng_t rng = {.state = seed};
+    apr_pool_t *pool = NULL;
+    apr_status_t status = APR_SUCCESS;
+    apr_pool_create(&pool, NULL);
+    for (uint32_t i = 0; i < kLoads; i++) {
+        loads[i].rng.state = seed * 100 + i;
+        loads[i].told = calloc(kJobsOfLoad, sizeof(told_t));
+        apr_thread_create(&loads[i].thread, NULL, run_load, &loads[i], pool);
+    }
+    for (uint64_t step = 0; step < steps; step++) {
+        fault_table[rng_below(&rng, kFaultCount)](&rng);
+        apr_sleep(rng_below(&rng, kStepUs));
+    }
+    for (uint32_t vm = 0; vm < cluster.vm_count; vm++) {
+        cluster_wait_ready(&cluster, vm);
+    }
+    atomic_store(&is_over, true);
+    uint32_t jobs = 0;
+    uint32_t complete = 0;
+    for (uint32_t i = 0; i < kLoads; i++) {
+        apr_thread_join(&status, loads[i].thread);
+        for (uint32_t j = 0; j < loads[i].count; j++) {
+            check_told(&loads[i].told[j]);
+            complete += loads[i].told[j].is_complete;
+            free(loads[i].told[j].definite);
+        }
+        jobs += loads[i].count;
+        free(loads[i].told);
+    }
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "doubled"), 0);
+    CU_ASSERT(complete > 0);
+    printf("seed %lu: %u jobs, %u complete ", (unsigned long)seed, jobs,
+           complete);
+    apr_pool_destroy(pool);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {{"seeded schedule", test_schedule},
+                                        CU_TEST_INFO_NULL};
+    apr_initialize();
+    cluster_start(&cluster,
+                  &(cluster_options_t){
+                      .dcs = 2,
+                      .vms = 2,
+                      .targets = 4,
+                      .has_middle = true,
+                      .dispatch_settings =
+                          "\"start_by_ms\": 500,\"lease_limit_ms\": 1000,",
+                      .front_settings = "\"silence_limit_ms\": 200,"
+                                        "\"reach_limit_ms\": 1000,"
+                                        "\"wait_limit_ms\": 3000,"});
+    int code = suite_run("schedule", tests);
+    cluster_end(&cluster);
+    return code;
+}
--- a/tests/unit/test_team.c
+++ b/tests/unit/test_team.c
@@ -1,5 +1,6 @@
-/// Tests of limit/team and limit/admission.
+/// Tests of limit/team, limit/retry_budget and limit/admission.
 #include "limit/admission.h"
+#include "limit/retry_budget.h"
 #include "limit/team.h"
 #include "support/suite.h"
 
@@ -55,6 +56,24 @@
     team_drop(team);
 }
 
+/// Retries are at most a part of the starts, once the first ones are spent.
+static void
+test_retry_budget(void)
+{
+    retry_budget_t budget;
+    uint32_t taken = 0;
+    retry_budget_init(&budget);
+    while (retry_budget_take(&budget)) {
+        taken++;
+    }
+    CU_ASSERT_EQUAL(taken, 50);
+    for (uint32_t i = 0; i < 1000; i++) {
+        retry_budget_earn(&budget);
+        taken += retry_budget_take(&budget) ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(taken, 150);
+}
+
 static admission_query_t
 make_query(void)
 {
@@ -89,10 +108,9 @@
 int
 main(void)
 {
-    static const CU_TestInfo tests[] = {{"rate", test_rate_is_kept},
-                                        {"large job", test_large_job},
-                                        {"shares", test_shares},
-                                        {"admission", test_admission},
-                                        CU_TEST_INFO_NULL};
+    static const CU_TestInfo tests[] = {
+        {"rate", test_rate_is_kept},   {"large job", test_large_job},
+        {"shares", test_shares},       {"retry budget", test_retry_budget},
+        {"admission", test_admission}, CU_TEST_INFO_NULL};
     return suite_run("limits", tests);
 }
--- /dev/null
+++ b/tools/mutants.sh
@@ -0,0 +1,70 @@
+#!/bin/sh
+# Takes one guard away at a time, in a copy of the tree, and runs the test
+# that must fail without it.
+# Usage: mutants.sh [NAME]
+set -eu
+top=$(cd "$(dirname "$0")/.." && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failures=0
+
+# mutant NAME TEST FILE SED-SCRIPT
+mutant() {
+    [ -n "${only:-}" ] && [ "$only" != "$1" ] && return
+    rm -rf "$work/tree"
+    mkdir "$work/tree"
+    (cd "$top" && cp -r CMakeLists.txt src tests bench "$work/tree")
+    sed -i "$4" "$work/tree/$3"
+    if cmp -s "$work/tree/$3" "$top/$3"; then
+        echo "$1: the change does not apply"
+        failures=$((failures + 1))
+        return
+    fi
+    (cd "$work/tree" && cmake -S . -B build >/dev/null &&
+        cmake --build build -j "$(nproc)" >"$work/build.log" 2>&1) || {
+        echo "$1: does not build"
+        tail -5 "$work/build.log"
+        failures=$((failures + 1))
+        return
+    }
+    if JT_BUILD="$work/tree/build" timeout 120 "$work/tree/build/$2" >"$work/log" 2>&1; then
+        echo "$1: NOT CAUGHT by $2"
+        failures=$((failures + 1))
+    else
+        echo "$1: caught by $2"
+    fi
+}
+
+only=${1:-}
+mutant second-pass functional_test_faults src/net/http_client.c \
+    's/if (request->pass_count > 1) {/if (request->pass_count > 99) {/'
+mutant try-mark functional_test_faults src/net/http_client.c \
+    's/if (request->mark != NULL \&\& !request->has_mark \&\&/if (false \&\&/'
+mutant unknown-is-not-run functional_test_faults src/dispatch/tries.c \
+    's/(judgement_t){kJobEventTryFailed, kErrorKindTargetLost,/(judgement_t){kJobEventTryNotRun, kErrorKindTargetLost,/'
+mutant submitted-bit test_mint src/core/mint.c \
+    's/block->submitted\[place \/ kWordBits\] |=.*/(void)0;/'
+mutant start-by-deadline test_mint src/core/mint.c \
+    's/return now_ns < block->start_by_ns ? kMintFresh : kMintExpired;/return kMintFresh;/'
+mutant incarnation-in-front functional_test_kill src/front/home.c \
+    's/home->nonce != call->id.home.nonce/false/'
+mutant id-hash functional_test_resubmit src/core/mint.c \
+    's/!job_id_verify(id, mint->secret)/false/'
+mutant body-digest functional_test_resubmit src/dispatch/jobs.c \
+    's/if (memcmp(record->digest, request->digest, kDigestBytes) != 0) {/if (false) {/'
+mutant handover functional_test_stop src/dispatch/drain.c \
+    's/if (handover->shards_left == 0) {/if (handover->shards_left == 0 \&\& (handover->batches = NULL, true)) {/'
+mutant drain-waits functional_test_stop src/dispatch/drain.c \
+    's/if (is_drained(dispatch)) {/if (true) {/'
+mutant leaving functional_test_stop src/route/target.c \
+    's/atomic_store(&target->leaving_until_ns, now_ns + LEAVING_NS);/(void)now_ns;/'
+mutant hello-silence functional_test_silence src/front/home.c \
+    's/(home->is_ready \&\& home->sent == NULL)/(home->sent == NULL)/'
+mutant base-offset test_document src/config/document.c \
+    's/if (record->base != current) {/if (false) {/'
+mutant forward-only test_document src/config/document.c \
+    's/if (offset < document->next) {/if (offset + 100 < document->next) {/'
+mutant not-run-is-kept test_job src/core/job.c \
+    's/move_tasks(job, kTaskStateWaiting, kTaskStateNotRun, kind);/move_tasks(job, kTaskStateWaiting, kTaskStateDone, kind);/'
+[ "$failures" = 0 ] || exit 1
+echo "mutants: all caught"
--- /dev/null
+++ b/tools/sanitize.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Runs the tests with the address and undefined behaviour sanitizers, and the
+# thread sanitizer on the modules that do not rest on RCU or its queues.
+# Usage: sanitize.sh BUILD_DIR
+set -eu
+build=$1
+cmake -S . -B "$build-asan" -DJT_SANITIZE=address,undefined >/dev/null
+cmake --build "$build-asan" -j "$(nproc)" >/dev/null
+# Processes end by signals in these tests; leaks at exit are not their matter.
+ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1 \
+    ctest --test-dir "$build-asan" --output-on-failure \
+    -E functional/test_schedule >"$build-asan/ctest.log" 2>&1 || {
+    grep -vE '^ *$' "$build-asan/ctest.log" | tail -60
+    exit 1
+}
+grep 'tests passed' "$build-asan/ctest.log" | sed 's/^/address, undefined: /'
+cmake -S . -B "$build-tsan" -DJT_SANITIZE=thread >/dev/null
+cmake --build "$build-tsan" -j "$(nproc)" --target test_threads >/dev/null
+"$build-tsan/test_threads" >"$build-tsan/threads.log" 2>&1 || {
+    tail -60 "$build-tsan/threads.log"
+    exit 1
+}
+echo "thread: test_threads passed"
