perf(route): borrow half of the others' shares, not all of them

Cause: jobs of up to 520 tasks borrowed every slot; the other dispatcher's tries at its own shares were then refused until those tasks ended. Ruled out: stale reports (50 ms already).

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -214,7 +214,7 @@
                  for dc in range(1, cluster.dcs + 1))
     done = max(delta["tries_done"], 1)
     result["wasted_percent"] = round(
-        100 * (delta["tries_started"] - delta["tries_done"]) / done, 2)
+        100 * delta["tries_not_run"] / done, 2)  # started for nothing
     result["frames_per_job"] = round(
         (delta["frames_in"] + delta["frames_out"]) /
         max(result["jobs"], 1), 2)
--- a/bench/run.py
+++ b/bench/run.py
@@ -111,17 +111,20 @@
 
 
 def killed(report, duration):
-    """An entry VM is killed halfway."""
+    """The dispatcher that all callers use is killed halfway."""
     def body(cluster):
         def kill():
             time.sleep(duration / 2000)
-            for part in ("front", "dispatch", "agent"):
-                cluster.kill(f"{part}12")
+            cluster.kill("dispatch11")
         thread = threading.Thread(target=kill)
         thread.start()
-        report.add("entry VM killed", "slack",
-                   load_at(cluster, 40, duration, **KUISEB))
+        result = load_at(cluster, 40, duration, fronts=[cluster.front()],
+                         **KUISEB)
         thread.join()
+        for column in ("wasted_percent", "frames_per_job",
+                       "dispatch_us_per_task"):
+            result[column] = ""  # the counters of the killed one are gone
+        report.add("dispatcher killed", "slack", result)
     with_cluster(body)
 
 
@@ -137,10 +140,12 @@
                           tasks="4:4", ms="50:50", teams=21, greedy=80,
                           seed=6, **DEADLINE)
         report.add("one team at 10 times its quota", "slack", result)
-        print(f"  refused of team t0: {result['refused_first']} of "
-              f"{result['refused']} refused; t0 had "
-              f"{int(result['jobs'] * 0.81) - result['refused_first']} jobs "
-              f"in {duration / 1000} s against {rate / 4} a second")
+        taken = result["jobs_first"] - result["refused_first"]
+        due = rate / 4 * (duration / 1000 + 1)  # with a burst of one second
+        print(f"  team t0: {result['jobs_first']} jobs, {taken} taken, "
+              f"{due:.0f} due, {taken / due:.3f} of its quota; refused of "
+              f"other teams: {result['refused'] - result['refused_first']}",
+              flush=True)
     with_cluster(body, teams=21, quota={"tasks_per_s": rate})
 
 
@@ -204,7 +209,7 @@
             capture_output=True, text=True, check=True)
         values = process.stdout.split()[1].split(",")
         print(f"  virtual, {targets} targets at 60%: median "
-              f"{int(values[9]) / 1000} p99 {int(values[10]) / 1000}; "
+              f"{int(values[10]) / 1000} p99 {int(values[11]) / 1000}; "
               f"{process.stderr.strip()}", flush=True)
 
 
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -219,14 +219,17 @@
 static void
 print_result(const load_result_t *result)
 {
-    printf("jobs,tasks,complete,complete_tasks,failed,refused,refused_first,"
+    printf("jobs,tasks,complete,complete_tasks,failed,refused,jobs_first,"
+           "refused_first,"
            "cancelled,broken,slow_p50,slow_p99,slow_p999,resp_p50_us,"
            "resp_p99_us,late_p99_us\n");
-    printf("%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu\n",
+    printf("%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,%lu,"
+           "%lu\n",
            (unsigned long)result->jobs, (unsigned long)result->tasks,
            (unsigned long)result->complete,
            (unsigned long)result->complete_tasks,
            (unsigned long)result->failed, (unsigned long)result->refused,
+           (unsigned long)result->jobs_first,
            (unsigned long)result->refused_first,
            (unsigned long)result->cancelled, (unsigned long)result->broken,
            (unsigned long)histogram_quantile(&result->slowdown, 500),
--- a/src/load/open_loop.c
+++ b/src/load/open_loop.c
@@ -296,6 +296,7 @@
     shot->is_cancelled = job.is_cancelled;
     loop_timer_init(&shot->cancel, cancel_shot, shot);
     generator->result.jobs++;
+    generator->result.jobs_first += shot->team == 0;
     generator->result.tasks += job.task_count;
     generator->out_count++;
     id_stock_t *stock = &generator->stocks[shot->front];
@@ -380,6 +381,7 @@
     sum->complete_tasks += part->complete_tasks;
     sum->failed += part->failed;
     sum->refused += part->refused;
+    sum->jobs_first += part->jobs_first;
     sum->refused_first += part->refused_first;
     sum->cancelled += part->cancelled;
     sum->broken += part->broken;
--- a/src/load/open_loop.h
+++ b/src/load/open_loop.h
@@ -32,7 +32,8 @@
     uint64_t complete_tasks;
     uint64_t failed;        ///< may have run
     uint64_t refused;       ///< proved not run
-    uint64_t refused_first; ///< of these, those of team t0
+    uint64_t jobs_first;    ///< jobs of team t0
+    uint64_t refused_first; ///< of the refused, those of team t0
     uint64_t cancelled;
     uint64_t broken;       ///< no whole answer
     histogram_t slowdown;  ///< response over ideal, in 1/1000
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -166,8 +166,8 @@
     return slots;
 }
 
-/// @return slots that this process may use beyond its share: all of them
-/// where the last report shows that nobody else uses any
+/// @return slots that this process may use with borrowed ones: half of the
+/// others' shares, where the last report shows that nobody else uses any
 static uint32_t
 borrowed_limit(const target_t *target, int64_t now_ns)
 {
@@ -175,7 +175,9 @@
         now_ns < atomic_load_explicit(&target->others_until_ns,
                                       memory_order_relaxed) &&
         atomic_load_explicit(&target->others_busy, memory_order_relaxed) == 0;
-    return is_alone ? target->slots : 0;
+    uint32_t share =
+        atomic_load_explicit(&target->share_slots, memory_order_relaxed);
+    return is_alone ? target->slots - (target->slots - share) / 2 : 0;
 }
 
 /// @return most tries of this process that may be out on the target
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -147,23 +147,21 @@
 end_run(loop_timer_t *timer)
 {
     run_t *run = timer->owner;
+    server_conn_t *conn = run->conn;
     char headers[kReplyBytes];
     char body[kServerPathBytes + 16];
+    int length = snprintf(body, sizeof body, "done %s", run->id);
     run->runner->busy--;
-    if (run->conn != NULL) {
-        int length = snprintf(body, sizeof body, "done %s", run->id);
-        write_headers(run->runner, run->try_line, false, headers);
-        server_conn_t *conn = run->conn;
-        server_set_state(conn, NULL);
-        server_reply(conn, 200, headers, body, (uint32_t)length);
-        if (run->is_twice) {
-            char raw[kServerPathBytes + 128];
-            int raw_bytes =
-                snprintf(raw, sizeof raw,
-                         "HTTP/1.1 200 Again\r\nContent-Length: %d\r\n\r\n%s",
-                         length, body);
-            server_write_raw(conn, raw, (uint32_t)raw_bytes);
-        }
+    write_headers(run->runner, run->try_line, false, headers);
+    server_set_state(conn, NULL);
+    server_reply(conn, 200, headers, body, (uint32_t)length);
+    if (run->is_twice) {
+        char raw[kServerPathBytes + 128];
+        int raw_bytes =
+            snprintf(raw, sizeof raw,
+                     "HTTP/1.1 200 Again\r\nContent-Length: %d\r\n\r\n%s",
+                     length, body);
+        server_write_raw(conn, raw, (uint32_t)raw_bytes);
     }
     free(run);
 }
@@ -174,7 +172,10 @@
     (void)owner;
     run_t *run = server_state(conn);
     if (run != NULL) {
-        run->conn = NULL;
+        // A closed connection is the signal to stop the task.
+        loop_timer_clear(server_loop(conn), &run->timer);
+        run->runner->busy--;
+        free(run);
         atomic_fetch_add(&standin.cut, 1);
     }
 }
