feat(agent): read the list of VMs only when it changed

Cause: at 2 000 VMs the list is 190 KB of JSON, read every 5 s: 39 KB/s a VM against 6 KB/s for control.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -61,6 +61,8 @@
     bool is_log_stale;     ///< read again after the read that is out
     uint32_t append_count; ///< appends that are out
     bool is_platform_up;
+    char list_etag[kEtagBytes];           ///< of the list that was read last
+    char list_condition[kEtagBytes + 32]; ///< header of the read that is out
     uint64_t scan_from;     ///< next offset to search for a snapshot; 0 none
     uint64_t snapshot_seen; ///< offset of the newest snapshot in the log
     uint32_t next_peer;
--- a/src/agent/platform.c
+++ b/src/agent/platform.c
@@ -28,12 +28,14 @@
     }
 }
 
+/// @param condition  a further header that lasts until the answer, or NULL
 static void
 send_request(agent_t *agent, const char *method, const char *url,
-             const char *body, http_done_t on_done, void *owner)
+             const char *body, const char *condition, http_done_t on_done,
+             void *owner)
 {
-    static const char *const headers[] = {"Content-Type: application/json",
-                                          "Expect:", NULL};
+    const char *const headers[] = {"Content-Type: application/json",
+                                   "Expect:", condition, NULL};
     http_spec_t spec = {
         .method = method,
         .url = url,
@@ -227,7 +229,7 @@
                                           : document_next(agent->document);
     apr_snprintf(url, sizeof url, "%s/v1/log/config?from=%" APR_UINT64_T_FMT,
                  agent->settings->platform_url, from);
-    send_request(agent, "GET", url, NULL, on_log, agent);
+    send_request(agent, "GET", url, NULL, NULL, on_log, agent);
 }
 
 /// An append that is out.
@@ -261,7 +263,7 @@
     const char *url =
         apr_psprintf(arena, "%s/v1/log/config", agent->settings->platform_url);
     agent->append_count++;
-    send_request(agent, "POST", url, body, on_appended, append);
+    send_request(agent, "POST", url, body, NULL, on_appended, append);
 }
 
 static void
@@ -271,12 +273,15 @@
     vm_list_t list;
     arena_t *arena = arena_create();
     agent->is_list_busy = false;
+    // 304 says that the list is the one that was read last.
     if (read_reply(reply, &vm_list_desc, arena, &list)) {
         agent_take_members(agent, list.vms, list.vms_count);
+        apr_cpystrn(agent->list_etag, reply->etag, sizeof agent->list_etag);
     }
     arena_destroy(arena);
 }
 
+/// Reads the list of VMs, where it is another than the one read last.
 static void
 read_list(agent_t *agent)
 {
@@ -286,7 +291,11 @@
     }
     agent->is_list_busy = true;
     apr_snprintf(url, sizeof url, "%s/v1/vms", agent->settings->platform_url);
-    send_request(agent, "GET", url, NULL, on_list, agent);
+    apr_snprintf(agent->list_condition, sizeof agent->list_condition,
+                 "If-None-Match: %s", agent->list_etag);
+    send_request(agent, "GET", url, NULL,
+                 agent->list_etag[0] == '\0' ? NULL : agent->list_condition,
+                 on_list, agent);
 }
 
 static void
--- a/src/dispatch/jobs.c
+++ b/src/dispatch/jobs.c
@@ -347,37 +347,42 @@
     arena_destroy(request->arena);
 }
 
-void
-jobs_read(shard_t *shard, job_request_t *request)
+/// @return the job that a request names; where none is held, answers why and
+///         returns NULL
+static job_record_t *
+find_held(shard_t *shard, const job_request_t *request)
 {
     void *job = NULL;
     mint_verdict_t verdict =
         mint_judge(shard->mint, &request->id, clock_now_ns(), &job);
     if (verdict != kMintHeld) {
         shard_answer_kind(shard, &request->reply_to, verdict_kinds[verdict]);
-        return;
+        return NULL;
     }
-    job_record_t *record = job;
-    if (record->answer != NULL) {
-        shard_answer(shard, &request->reply_to, record->answer);
+    return job;
+}
+
+void
+jobs_read(shard_t *shard, job_request_t *request)
+{
+    job_record_t *record = find_held(shard, request);
+    if (record == NULL) {
         return;
     }
-    blob_t *state = answers_build_state(record->job.state);
-    shard_answer(shard, &request->reply_to, state);
-    blob_drop(state);
+    blob_t *answer = record->answer != NULL
+                         ? blob_hold(record->answer)
+                         : answers_build_state(record->job.state);
+    shard_answer(shard, &request->reply_to, answer);
+    blob_drop(answer);
 }
 
 void
 jobs_cancel(shard_t *shard, job_request_t *request)
 {
-    void *job = NULL;
-    mint_verdict_t verdict =
-        mint_judge(shard->mint, &request->id, clock_now_ns(), &job);
-    if (verdict != kMintHeld) {
-        shard_answer_kind(shard, &request->reply_to, verdict_kinds[verdict]);
+    job_record_t *record = find_held(shard, request);
+    if (record == NULL) {
         return;
     }
-    job_record_t *record = job;
     if (record->answer != NULL) {
         shard_answer(shard, &request->reply_to, record->answer);
         return;
--- a/src/dispatch/shard.c
+++ b/src/dispatch/shard.c
@@ -221,19 +221,29 @@
     forward(session, &request, jobs_submit);
 }
 
+/// Hands a request that only names a job to the shard that owns it.
+static void
+forward_by_id(session_t *session, uint64_t number, bytes_t id,
+              void (*serve)(shard_t *shard, job_request_t *request))
+{
+    job_request_t request = {.reply_to = reply_address(session, number)};
+    if (!job_id_unpack(id, &request.id)) {
+        conn_close(session->conn);
+        return;
+    }
+    forward(session, &request, serve);
+}
+
 static void
 take_read(session_t *session, bytes_t body, arena_t *arena)
 {
     read_message_t message;
     error_info_t err = {0};
-    job_request_t request = {0};
-    if (!pack_read_message(body, &read_message_desc, arena, &message, &err) ||
-        !job_id_unpack(message.id, &request.id)) {
+    if (!pack_read_message(body, &read_message_desc, arena, &message, &err)) {
         conn_close(session->conn);
         return;
     }
-    request.reply_to = reply_address(session, message.request);
-    forward(session, &request, jobs_read);
+    forward_by_id(session, message.request, message.id, jobs_read);
 }
 
 static void
@@ -241,15 +251,12 @@
 {
     cancel_message_t message;
     error_info_t err = {0};
-    job_request_t request = {0};
     if (!pack_read_message(body, &cancel_message_desc, arena, &message,
-                           &err) ||
-        !job_id_unpack(message.id, &request.id)) {
+                           &err)) {
         conn_close(session->conn);
         return;
     }
-    request.reply_to = reply_address(session, message.request);
-    forward(session, &request, jobs_cancel);
+    forward_by_id(session, message.request, message.id, jobs_cancel);
 }
 
 static void
--- a/src/front/home.c
+++ b/src/front/home.c
@@ -61,16 +61,25 @@
     conn_send(home->conn, kMessageMint, &mint);
 }
 
+/// Packs the id of a call.
+///
+/// @param out  room for it, valid as long as the result is used
+static bytes_t
+pack_id(const call_t *call, uint8_t out[kJobIdPackedBytes])
+{
+    job_id_pack(&call->id, out);
+    return (bytes_t){.data = out, .size_bytes = kJobIdPackedBytes};
+}
+
 static void
 send_submit(home_t *home, call_t *call)
 {
     uint8_t packed[kJobIdPackedBytes];
-    job_id_pack(&call->id, packed);
     uint32_t left_ms =
         call->deadline_ns == 0 ? 0 : clock_left_ms(call->deadline_ns);
     submit_message_t submit = {
         .request = call->request,
-        .id = {.data = packed, .size_bytes = sizeof packed},
+        .id = pack_id(call, packed),
         .digest = {.data = call->digest, .size_bytes = kCallDigestBytes},
         .left_ms = call->deadline_ns != 0 && left_ms == 0 ? 1 : left_ms,
         .job = call->document};
@@ -81,10 +90,8 @@
 send_read(home_t *home, call_t *call)
 {
     uint8_t packed[kJobIdPackedBytes];
-    job_id_pack(&call->id, packed);
-    read_message_t read = {
-        .request = call->request,
-        .id = {.data = packed, .size_bytes = sizeof packed}};
+    read_message_t read = {.request = call->request,
+                           .id = pack_id(call, packed)};
     conn_send(home->conn, kMessageRead, &read);
 }
 
@@ -92,10 +99,8 @@
 send_cancel(home_t *home, call_t *call)
 {
     uint8_t packed[kJobIdPackedBytes];
-    job_id_pack(&call->id, packed);
-    cancel_message_t cancel = {
-        .request = call->request,
-        .id = {.data = packed, .size_bytes = sizeof packed}};
+    cancel_message_t cancel = {.request = call->request,
+                               .id = pack_id(call, packed)};
     conn_send(home->conn, kMessageCancel, &cancel);
 }
 
@@ -103,10 +108,8 @@
 send_find(home_t *home, call_t *call)
 {
     uint8_t packed[kJobIdPackedBytes];
-    job_id_pack(&call->id, packed);
-    find_message_t find = {
-        .request = call->request,
-        .id = {.data = packed, .size_bytes = sizeof packed}};
+    find_message_t find = {.request = call->request,
+                           .id = pack_id(call, packed)};
     if (call->type == kCallSubmit) {
         find.digest =
             (bytes_t){.data = call->digest, .size_bytes = kCallDigestBytes};
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -101,7 +101,10 @@
 static bool
 parse_workload(int key, const char *arg, workload_t *workload)
 {
-    uint32_t number = arg == NULL ? 0 : (uint32_t)strtoul(arg, NULL, 10);
+    if (arg == NULL) {
+        return false;
+    }
+    uint32_t number = (uint32_t)strtoul(arg, NULL, 10);
     switch (key) {
     case kKeyTasks:
         read_range(arg, &workload->least_tasks, &workload->most_tasks);
@@ -177,11 +180,15 @@
 parse_virtual(int key, const char *arg, options_t *options,
               const struct argp_state *state)
 {
-    uint32_t number = arg == NULL ? 0 : (uint32_t)strtoul(arg, NULL, 10);
-    switch (key) {
-    case kKeyVirtual:
+    if (key == kKeyVirtual) {
         options->is_virtual = true;
         return true;
+    }
+    if (arg == NULL) {
+        return false;
+    }
+    uint32_t number = (uint32_t)strtoul(arg, NULL, 10);
+    switch (key) {
     case kKeyTargets:
         options->virtual.target_count = number;
         return true;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,6 +2,7 @@
 
 #include <apr_portable.h>
 #include <curl/curl.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -139,7 +140,7 @@
         counter_add(kCounterTriesLate, 1);
         return 0;
     }
-    if (size_bytes < 3 || (data[0] != 'J' && data[0] != 'j')) {
+    if (size_bytes < 3 || strchr("JjEe", data[0]) == NULL) {
         return size_bytes;
     }
     char line[kHeaderMaxBytes] = "";
@@ -155,6 +156,11 @@
     else if (strncasecmp(line, "Jt-Load: ", 9) == 0) {
         take_load(reply, line + 9);
     }
+    else if (strncasecmp(line, "ETag: ", 6) == 0) {
+        line[strcspn(line, "\r\n")] = '\0';
+        snprintf(reply->etag, sizeof reply->etag, "%.*s", kEtagBytes - 1,
+                 line + 6);
+    }
     return size_bytes;
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -9,6 +9,8 @@
 #include "base/record.h"
 #include "net/loop.h"
 
+enum { kEtagBytes = 96 };
+
 typedef struct http_client http_client_t;
 typedef struct http_request http_request_t;
 
@@ -24,11 +26,12 @@
     http_end_t end;
     uint32_t status;
     bytes_t body;
-    bool has_not_run;    ///< Jt-Not-Run: 1
-    bool has_leaving;    ///< Jt-Leaving: 1
-    bool has_load;       ///< Jt-Load: BUSY/SLOTS
-    uint32_t load_busy;  ///< slots in use at the target
-    uint32_t load_slots; ///< slots of the target
+    bool has_not_run;      ///< Jt-Not-Run: 1
+    bool has_leaving;      ///< Jt-Leaving: 1
+    bool has_load;         ///< Jt-Load: BUSY/SLOTS
+    uint32_t load_busy;    ///< slots in use at the target
+    uint32_t load_slots;   ///< slots of the target
+    char etag[kEtagBytes]; ///< version of the body, or ""
 } http_reply_t;
 
 typedef void (*http_done_t)(void *owner, const http_reply_t *reply);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -18,7 +18,12 @@
 #include "shell/clock.h"
 #include "support/http_server.h"
 
-enum { kPageRecords = 200, kRecordLimit = 1000000, kReplyBytes = 256 };
+enum {
+    kPageRecords = 200,
+    kRecordLimit = 1000000,
+    kReplyBytes = 256,
+    kHeaderBytes = 64
+};
 
 typedef struct {
     server_t server;
@@ -26,6 +31,7 @@
     uint64_t next;
     uint64_t first;
     char *vms;
+    uint64_t vms_version;
     bool is_out;
     uint32_t slow_ms;
     uint32_t lose_replies;
@@ -37,6 +43,7 @@
     loop_timer_t timer;
     server_conn_t *conn;
     char *body;
+    char headers[kHeaderBytes];
 } slow_t;
 
 static void
@@ -45,7 +52,7 @@
     slow_t *slow = timer->owner;
     if (slow->conn != NULL) {
         server_set_state(slow->conn, NULL);
-        server_reply(slow->conn, 200, "", slow->body,
+        server_reply(slow->conn, 200, slow->headers, slow->body,
                      (uint32_t)strlen(slow->body));
     }
     free(slow->body);
@@ -63,15 +70,17 @@
 }
 
 static void
-reply_json(platform_t *platform, server_conn_t *conn, const char *body)
+reply_json(platform_t *platform, server_conn_t *conn, const char *headers,
+           const char *body)
 {
     if (platform->slow_ms == 0) {
-        server_reply(conn, 200, "", body, (uint32_t)strlen(body));
+        server_reply(conn, 200, headers, body, (uint32_t)strlen(body));
         return;
     }
     slow_t *slow = calloc(1, sizeof *slow);
     slow->conn = conn;
     slow->body = strdup(body);
+    snprintf(slow->headers, sizeof slow->headers, "%s", headers);
     loop_timer_init(&slow->timer, send_slow, slow);
     server_set_state(conn, slow);
     loop_timer_set(platform->server.loop, &slow->timer,
@@ -92,7 +101,7 @@
         return;
     }
     snprintf(reply, sizeof reply, "{\"offset\":%lu}", (unsigned long)offset);
-    reply_json(platform, conn, reply);
+    reply_json(platform, conn, "", reply);
 }
 
 static void
@@ -113,7 +122,7 @@
     }
     fprintf(out, "]}");
     fclose(out);
-    reply_json(platform, conn, body);
+    reply_json(platform, conn, "", body);
     free(body);
 }
 
@@ -155,6 +164,21 @@
     server_reply(conn, 200, "", reply, (uint32_t)length);
 }
 
+/// Sends the list, unless the reader has this version.
+static void
+serve_vms(platform_t *platform, server_conn_t *conn,
+          const server_request_t *request)
+{
+    char headers[kHeaderBytes];
+    snprintf(headers, sizeof headers, "ETag: \"%lu\"\r\n",
+             (unsigned long)platform->vms_version);
+    if (request->if_none_match == platform->vms_version) {
+        server_reply(conn, 304, headers, "", 0);
+        return;
+    }
+    reply_json(platform, conn, headers, platform->vms);
+}
+
 /// Serves what the platform itself offers.
 static void
 serve_platform(platform_t *platform, server_conn_t *conn,
@@ -173,7 +197,7 @@
         serve_page(platform, conn, request);
     }
     else if (strcmp(request->path, "/v1/vms") == 0) {
-        reply_json(platform, conn, platform->vms);
+        serve_vms(platform, conn, request);
     }
     else {
         server_reply(conn, 404, "", "", 0);
@@ -190,6 +214,7 @@
     else if (strcmp(request->path, "/standin/vms") == 0) {
         free(platform->vms);
         platform->vms = strndup(request->body, request->body_bytes);
+        platform->vms_version++;
         server_reply(conn, 200, "", "{}", 2);
     }
     else if (strcmp(request->path, "/standin/log") == 0) {
@@ -242,7 +267,8 @@
         .records = calloc(kRecordLimit, sizeof(char *)),
         .next = 1,
         .first = 1,
-        .vms = strdup("{\"vms\":[]}")};
+        .vms = strdup("{\"vms\":[]}"),
+        .vms_version = 1};
     platform.server.owner = &platform;
     if (!server_open(&platform.server, options.address, options.port, &err)) {
         fprintf(stderr, "standin-platform: %s\n", err.text);
--- a/tests/support/http_server.c
+++ b/tests/support/http_server.c
@@ -179,6 +179,10 @@
         .lease_ms =
             lease_text == NULL ? 0 : (uint32_t)strtoul(lease_text, NULL, 10),
         .is_reused = conn->request_count > 0};
+    const char *etag_text = find_header(conn->in, "If-None-Match: \"");
+    if (etag_text != NULL) {
+        request.if_none_match = strtoull(etag_text, NULL, 10);
+    }
     const char *try_text = find_header(conn->in, "Jt-Try: ");
     if (try_text != NULL) {
         snprintf(request.try_line, sizeof request.try_line, "Jt-Try: %.*s\r\n",
--- a/tests/support/http_server.h
+++ b/tests/support/http_server.h
@@ -19,6 +19,7 @@
     const char *body;            ///< with a NUL after it
     uint32_t body_bytes;
     char try_line[kServerPathBytes]; ///< header Jt-Try with its CRLF, or ""
+    uint64_t if_none_match;          ///< number of header If-None-Match, or 0
     uint32_t lease_ms;               ///< header Jt-Lease-Ms, or 0
     bool is_reused;                  ///< not the first on its connection
 } server_request_t;
