--- a/src/base/arena.c
+++ b/src/base/arena.c
@@ -58,6 +58,14 @@
     apr_pool_destroy(arena);
 }
 
+void
+arena_release_spares(void)
+{
+    while (spare_count > 0) {
+        apr_pool_destroy(spare_arenas[--spare_count]);
+    }
+}
+
 char *
 arena_copy(arena_t *arena, const void *data, uint64_t size_bytes)
 {
--- a/src/base/arena.h
+++ b/src/base/arena.h
@@ -16,6 +16,9 @@
 /// Frees all memory of an arena; any thread. NULL is let be.
 void arena_destroy(arena_t *arena);
 
+/// Frees the arenas that the calling thread keeps for its next ones.
+void arena_release_spares(void);
+
 /// Copies bytes into an arena and adds a NUL after them.
 ///
 /// @return the copy
--- a/src/codec/pack.c
+++ b/src/codec/pack.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "codec/bounds.h"
+
 static void write_fields(msgpack_packer *packer, const record_desc_t *desc,
                          const uint8_t *record);
 
@@ -242,6 +244,9 @@
 read_array(bytes_t data, uint32_t skip, const record_desc_t *desc,
            arena_t *arena, void *out, error_info_t *err)
 {
+    if (!bounds_check(data)) {
+        return error_set(err, kErrorKindProtocol, "%s: not whole", desc->name);
+    }
     msgpack_unpacked unpacked;
     msgpack_unpacked_init(&unpacked);
     size_t offset_bytes = 0;
--- a/tests/fuzz/fuzz_json.c
+++ b/tests/fuzz/fuzz_json.c
@@ -1,15 +1,28 @@
 /// Fuzzes the reader of JSON from callers, operators and the platform: the
 /// first byte chooses the document.
+#include <apr_general.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "codec/json.h"
 #include "generated/documents.h"
 #include "generated/messages.h"
 #include "generated/settings.h"
 
+int LLVMFuzzerInitialize(int *argc, char ***argv);
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes);
 
+int
+LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+    (void)argc;
+    (void)argv;
+    apr_initialize();
+    atexit(arena_release_spares);
+    return 0;
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
 {
--- a/tests/fuzz/fuzz_messages.c
+++ b/tests/fuzz/fuzz_messages.c
@@ -1,14 +1,27 @@
 /// Fuzzes the decoder of messages between own processes: the first byte
 /// chooses the message.
+#include <apr_general.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "codec/pack.h"
 #include "core/job_id.h"
 #include "generated/messages.h"
 
+int LLVMFuzzerInitialize(int *argc, char ***argv);
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes);
 
+int
+LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+    (void)argc;
+    (void)argv;
+    apr_initialize();
+    atexit(arena_release_spares);
+    return 0;
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size_bytes)
 {
--- a/tests/unit/test_codec.c
+++ b/tests/unit/test_codec.c
@@ -1,9 +1,10 @@
-/// Tests of codec/pack and codec/json: what is written reads back; what is
-/// cut or altered is refused, never a crash.
+/// Tests of codec/pack, codec/bounds and codec/json: what is written reads
+/// back; what is cut or altered is refused, never a crash.
 #include <apr_general.h>
 #include <string.h>
 
 #include "base/rng.h"
+#include "codec/bounds.h"
 #include "codec/json.h"
 #include "codec/pack.h"
 #include "generated/messages.h"
@@ -79,6 +80,22 @@
     msgpack_sbuffer_destroy(&out);
 }
 
+/// A count that does not fit into the data is refused before msgpack-c makes
+/// room for it. Found by the fuzzer.
+static void
+test_claimed_counts(void)
+{
+    static const uint8_t map[] = {0xDF, 0xDF, 0xDF, 0xDF, 0xDF, 0x01};
+    static const uint8_t nested[] = {0x92, 0xDD, 0x00, 0x00, 0x00, 0x05, 1, 2};
+    static const uint8_t text[] = {0xDB, 0xFF, 0xFF, 0xFF, 0xFF, 'x'};
+    static const uint8_t whole[] = {0x92, 0xDC, 0x00, 0x01, 0xA1, 'x', 0xC0};
+    CU_ASSERT_FALSE(bounds_check((bytes_t){map, sizeof map}));
+    CU_ASSERT_FALSE(bounds_check((bytes_t){nested, sizeof nested}));
+    CU_ASSERT_FALSE(bounds_check((bytes_t){text, sizeof text}));
+    CU_ASSERT_FALSE(bounds_check((bytes_t){whole, sizeof whole - 1}));
+    CU_ASSERT_TRUE(bounds_check((bytes_t){whole, sizeof whole}));
+}
+
 static bool
 read_settings(const char *text, dispatch_settings_t *out, error_info_t *err)
 {
@@ -168,6 +185,7 @@
     static const CU_TestInfo tests[] = {
         {"message", test_message},
         {"altered messages", test_altered_messages},
+        {"claimed counts", test_claimed_counts},
         {"settings", test_settings},
         {"bad settings", test_bad_settings},
         {"json", test_json_back},
