--- a/src/codec/pack.c
+++ b/src/codec/pack.c
@@ -32,13 +32,15 @@
         break;
     case kFieldStr: {
         const char *text = *(const char *const *)at;
-        size_t size_bytes = text == NULL ? 0 : strlen(text);
-        msgpack_pack_str_with_body(packer, text, size_bytes);
+        text = text == NULL ? "" : text;
+        msgpack_pack_str_with_body(packer, text, strlen(text));
         break;
     }
     case kFieldBytes: {
         const bytes_t *bytes = (const bytes_t *)at;
-        msgpack_pack_bin_with_body(packer, bytes->data, bytes->size_bytes);
+        const void *data =
+            bytes->data == NULL ? (const void *)"" : bytes->data;
+        msgpack_pack_bin_with_body(packer, data, bytes->size_bytes);
         break;
     }
     case kFieldRecord:
@@ -135,7 +137,7 @@
         (field->max > 0 && size_bytes > field->max)) {
         return fail(err, field, "length out of range");
     }
-    if (is_str && memchr(data, '\0', size_bytes) != NULL) {
+    if (is_str && size_bytes > 0 && memchr(data, '\0', size_bytes) != NULL) {
         return fail(err, field, "NUL in a string");
     }
     out->data = (const uint8_t *)arena_copy(arena, data, size_bytes);
