--- a/src/dispatch/jobs.h
+++ b/src/dispatch/jobs.h
@@ -7,7 +7,7 @@
 
 enum { kDigestBytes = 32 };
 
-typedef struct try try_t;
+typedef struct task_try try_t;
 
 /// A request about a job, on its way to the shard that owns the id.
 typedef struct {
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -21,8 +21,7 @@
 };
 
 /// One request to a target.
-struct
-try {
+struct task_try {
     job_record_t *record;
     uint32_t task;
     target_t *target;
@@ -78,27 +77,27 @@
 
 /// Gives the target back, with what was learned.
 static void
-release_target(const try_t *try, target_sign_t sign, int64_t now_ns)
+release_target(const try_t *attempt, target_sign_t sign, int64_t now_ns)
 {
-    shard_t *shard = try->record->shard;
+    shard_t *shard = attempt->record->shard;
     rcu_read_lock();
     const view_t *view = rcu_dereference(shard->dispatch->view);
-    target_release(
-        try->target, view->targets, sign,
-        target_excess_millibits(now_ns - try->started_ns, try->expected_ns),
-        now_ns);
+    target_release(attempt->target, view->targets, sign,
+                   target_excess_millibits(now_ns - attempt->started_ns,
+                                           attempt->expected_ns),
+                   now_ns);
     rcu_read_unlock();
     atomic_fetch_sub_explicit(&shard->started_count, 1, memory_order_relaxed);
 }
 
 /// Learns from a try that was done.
 static void
-learn_service(shard_t *shard, const try_t *try, int64_t service_ns)
+learn_service(shard_t *shard, const try_t *attempt, int64_t service_ns)
 {
-    const char *kind = try->record->document.tasks[try->task].kind;
+    const char *kind = attempt->record->document.tasks[attempt->task].kind;
     estimate_learn(&shard->estimate, kind, service_ns,
-                   target_excess_millibits(service_ns, try->expected_ns),
-                   target_slowness_millibits(try->target));
+                   target_excess_millibits(service_ns, attempt->expected_ns),
+                   target_slowness_millibits(attempt->target));
     shard->service_ns =
         shard->service_ns == 0
             ? service_ns
@@ -121,50 +120,50 @@
 static void
 on_reply(void *owner, const http_reply_t *reply)
 {
-    try_t *try = owner;
-    job_record_t *record = try->record;
+    try_t *attempt = owner;
+    job_record_t *record = attempt->record;
     shard_t *shard = record->shard;
     int64_t now_ns = clock_now_ns();
     judgement_t judgement = judge(reply);
     count_judgement(judgement.event);
     if (reply->has_leaving) {
-        target_note_leaving(try->target, now_ns);
+        target_note_leaving(attempt->target, now_ns);
     }
     if (reply->has_load) {
-        target_note_load(try->target, reply->load_busy, now_ns);
+        target_note_load(attempt->target, reply->load_busy, now_ns);
     }
     if (judgement.event == kJobEventTryDone) {
-        learn_service(shard, try, now_ns - try->started_ns);
-        bytes_t *result = &record->results[try->task];
+        learn_service(shard, attempt, now_ns - attempt->started_ns);
+        bytes_t *result = &record->results[attempt->task];
         result->size_bytes = reply->body.size_bytes;
         result->data = (uint8_t *)arena_copy(record->arena, reply->body.data,
                                              reply->body.size_bytes);
     }
-    release_target(try, judgement.sign, now_ns);
-    record->tries[try->task] = NULL;
+    release_target(attempt, judgement.sign, now_ns);
+    record->tries[attempt->task] = NULL;
     job_event_t event = {.type = judgement.event,
-                         .task = try->task,
+                         .task = attempt->task,
                          .kind = judgement.kind,
                          .may_retry =
-                             may_retry(record, try->task, &judgement)};
-    free(try);
+                             may_retry(record, attempt->task, &judgement)};
+    free(attempt);
     jobs_apply(record, &event);
     tries_pump(shard);
 }
 
 /// Fills in the request of a try.
 static void
-write_request(try_t *try, int64_t lease_ns)
+write_request(try_t *attempt, int64_t lease_ns)
 {
-    job_record_t *record = try->record;
-    apr_snprintf(try->url, sizeof try->url, "%s/v1/tasks/%s.%u",
-                 try->target->base_url, record->id_text, try->task);
-    apr_snprintf(try->lease_header, sizeof try->lease_header,
+    job_record_t *record = attempt->record;
+    apr_snprintf(attempt->url, sizeof attempt->url, "%s/v1/tasks/%s.%u",
+                 attempt->target->base_url, record->id_text, attempt->task);
+    apr_snprintf(attempt->lease_header, sizeof attempt->lease_header,
                  "Jt-Lease-Ms: %u", clock_left_ms(lease_ns));
-    apr_snprintf(try->try_header, sizeof try->try_header, "Jt-Try: %s.%u.%u",
-                 record->id_text, try->task,
-                 record->job.tasks[try->task].try_count);
-    apr_snprintf(try->job_header, sizeof try->job_header, "Jt-Job: %s",
+    apr_snprintf(attempt->try_header, sizeof attempt->try_header,
+                 "Jt-Try: %s.%u.%u", record->id_text, attempt->task,
+                 record->job.tasks[attempt->task].try_count);
+    apr_snprintf(attempt->job_header, sizeof attempt->job_header, "Jt-Job: %s",
                  record->id_text);
 }
 
@@ -182,37 +181,37 @@
     if (record->job.deadline_ns < lease_ns) {
         lease_ns = record->job.deadline_ns;
     }
-    try_t *try = malloc(sizeof *try);
-    *try = (try_t){.record = record,
-                   .task = task,
-                   .target = target,
-                   .expected_ns = expected_ns,
-                   .started_ns = clock_now_ns()};
-    write_request(try, lease_ns);
-    const char *headers[] = {try->lease_header,
-                             try->try_header,
-                             try->job_header,
+    try_t *attempt = malloc(sizeof *attempt);
+    *attempt = (try_t){.record = record,
+                       .task = task,
+                       .target = target,
+                       .expected_ns = expected_ns,
+                       .started_ns = clock_now_ns()};
+    write_request(attempt, lease_ns);
+    const char *headers[] = {attempt->lease_header,
+                             attempt->try_header,
+                             attempt->job_header,
                              "Content-Type: application/octet-stream",
                              "Expect:",
                              "Accept:",
                              NULL};
     http_spec_t spec = {.method = "POST",
-                        .url = try->url,
+                        .url = attempt->url,
                         .headers = headers,
                         .body = document->payload,
-                        .mark = try->try_header,
+                        .mark = attempt->try_header,
                         .deadline_ns = lease_ns,
                         .connect_limit_ms = settings->connect_limit_ms,
                         .idle_trust_ms = settings->idle_trust_ms,
                         .on_done = on_reply,
-                        .owner = try};
+                        .owner = attempt};
     counter_add(kCounterTriesStarted, 1);
     if (record->job.tasks[task].try_count == 1) {
         retry_budget_earn(&shard->retries);
     }
     atomic_fetch_add_explicit(&shard->started_count, 1, memory_order_relaxed);
-    record->tries[task] = try;
-    try->request = http_client_start(shard->http, &spec);
+    record->tries[task] = attempt;
+    attempt->request = http_client_start(shard->http, &spec);
 }
 
 /// Starts tasks of one class as long as a slot is free. Under RCU.
@@ -280,14 +279,14 @@
     shard_t *shard = record->shard;
     int64_t now_ns = clock_now_ns();
     for (uint32_t i = 0; i < record->job.task_count; i++) {
-        try_t *try = record->tries[i];
-        if (try == NULL) {
+        try_t *attempt = record->tries[i];
+        if (attempt == NULL) {
             continue;
         }
-        http_client_abort(shard->http, try->request);
-        release_target(try, kSignNone, now_ns);
+        http_client_abort(shard->http, attempt->request);
+        release_target(attempt, kSignNone, now_ns);
         record->tries[i] = NULL;
-        free(try);
+        free(attempt);
     }
 }
 
--- a/src/load/virtual.c
+++ b/src/load/virtual.c
@@ -92,16 +92,16 @@
 start_task(run_t *run, virtual_job_t *job, uint32_t task, target_t *target,
            int64_t expected_ns)
 {
-    virtual_try_t *try = malloc(sizeof *try);
-    *try = (virtual_try_t){.node = {.place = kHeapAbsent},
-                           .job = job,
-                           .task = task,
-                           .target = target,
-                           .started_ns = run->now_ns,
-                           .expected_ns = expected_ns};
+    virtual_try_t *attempt = malloc(sizeof *attempt);
+    *attempt = (virtual_try_t){.node = {.place = kHeapAbsent},
+                               .job = job,
+                               .task = task,
+                               .target = target,
+                               .started_ns = run->now_ns,
+                               .expected_ns = expected_ns};
     job_apply(&job->job,
               &(job_event_t){.type = kJobEventTaskStart, .task = task});
-    heap_set(&run->running, &try->node,
+    heap_set(&run->running, &attempt->node,
              run->now_ns + run_time_ns(run, job, task, target));
     run->decision_count++;
 }
@@ -187,21 +187,22 @@
 }
 
 static void
-end_task(run_t *run, virtual_try_t *try)
+end_task(run_t *run, virtual_try_t *attempt)
 {
-    heap_remove(&run->running, &try->node);
-    int64_t time_ns = run->now_ns - try->started_ns;
-    int64_t excess = target_excess_millibits(time_ns, try->expected_ns);
+    heap_remove(&run->running, &attempt->node);
+    int64_t time_ns = run->now_ns - attempt->started_ns;
+    int64_t excess = target_excess_millibits(time_ns, attempt->expected_ns);
     estimate_learn(&run->estimate, kind_name, time_ns, excess,
-                   target_slowness_millibits(try->target));
-    target_release(try->target, run->table, kSignDone, excess, run->now_ns);
+                   target_slowness_millibits(attempt->target));
+    target_release(attempt->target, run->table, kSignDone, excess,
+                   run->now_ns);
     uint32_t acts =
-        job_apply(&try->job->job,
-                  &(job_event_t){.type = kJobEventTryDone, .task = try->task});
+        job_apply(&attempt->job->job, &(job_event_t){.type = kJobEventTryDone,
+                                                     .task = attempt->task});
     if (acts & kJobActFinish) {
-        finish_job(run, try->job);
+        finish_job(run, attempt->job);
     }
-    free(try);
+    free(attempt);
     pump(run);
 }
 
--- a/tests/functional/test_kill.c
+++ b/tests/functional/test_kill.c
@@ -56,6 +56,93 @@
     cluster_wait_ready(&cluster, 0);
 }
 
+/// Kills the first dispatcher and starts it again.
+static void
+restart_dispatcher(void)
+{
+    cluster_signal(&cluster, 0, kPartDispatch, SIGKILL);
+    cluster_join_part(&cluster, 0, kPartDispatch);
+    cluster_start_part(&cluster, 0, kPartDispatch);
+    cluster_wait_ready(&cluster, 0);
+}
+
+/// Submits under an id whose home is over; nothing may start.
+static void
+check_home_lost(const char *id, const char *job)
+{
+    caller_request_t request;
+    uint64_t starts = cluster_ledger(&cluster, "starts");
+    for (uint32_t vm = 0; vm < cluster.vm_count; vm++) {
+        CU_ASSERT_EQUAL(cluster_submit(&cluster, vm, id, job, &request), 502);
+        CU_ASSERT(caller_has(&request, "\"kind\":\"home_lost\""));
+        CU_ASSERT_FALSE(request.is_not_run);
+        caller_free(&request, 1);
+    }
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), starts);
+    check_ledger();
+}
+
+/// The home is killed between the mint and the submission.
+static void
+test_kill_before_submission(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    restart_dispatcher();
+    check_home_lost(id, job);
+}
+
+/// The home is killed after its answer was read.
+static void
+test_kill_after_answer(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    restart_dispatcher();
+    check_home_lost(id, job);
+}
+
+/// The front is frozen while it waits for the answer, and wakes.
+static void
+test_freeze_front(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t request;
+    caller_batch_t batch;
+    cluster_mint(&cluster, 0, id);
+    start_long_job(0, 200, id, &request, &batch);
+    cluster_signal(&cluster, 0, kPartFront, SIGSTOP);
+    apr_sleep(700000);
+    cluster_signal(&cluster, 0, kPartFront, SIGCONT);
+    caller_join(&batch);
+    CU_ASSERT_EQUAL(request.status, 200);
+    caller_free(&request, 1);
+    check_ledger();
+}
+
+/// A frozen agent holds nobody up.
+static void
+test_freeze_agent(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t request;
+    cluster_signal(&cluster, 0, kPartAgent, SIGSTOP);
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
+    caller_free(&request, 1);
+    cluster_signal(&cluster, 0, kPartAgent, SIGCONT);
+    check_ledger();
+}
+
 /// The front is killed: the caller asks through another one and gets the
 /// whole answer.
 static void
@@ -145,7 +232,11 @@
 {
     static const CU_TestInfo tests[] = {
         {"kill the dispatcher", test_kill_dispatcher},
+        {"kill before the submission", test_kill_before_submission},
+        {"kill after the answer", test_kill_after_answer},
         {"kill the front", test_kill_front},
+        {"freeze the front", test_freeze_front},
+        {"freeze the agent", test_freeze_agent},
         {"kill the agent", test_kill_agent},
         {"freeze the dispatcher", test_freeze_dispatcher},
         {"a frozen home is unknown", test_frozen_is_unknown},
--- a/tests/functional/test_platform.c
+++ b/tests/functional/test_platform.c
@@ -114,6 +114,39 @@
     CU_ASSERT_EQUAL(accepted_offset(), offset);
 }
 
+/// @return the status of a job of one task for a team
+static uint32_t
+submit_for(const char *team, caller_request_t *request)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    snprintf(job, sizeof job,
+             "{\"team\":\"%s\",\"tasks\":[{\"kind\":\"quote\"}]}", team);
+    cluster_mint(&cluster, 0, id);
+    return cluster_submit(&cluster, 0, id, job, request);
+}
+
+/// A team over its quota and one that nobody configured are refused, not run.
+static void
+test_refusals(void)
+{
+    caller_request_t request;
+    CU_ASSERT_EQUAL(put(0, "tiny", 1, "--base 0"), 0);
+    unsigned long offset = accepted_offset();
+    cluster_wait(is_in_force, &offset, "a small quota is in force");
+    CU_ASSERT_EQUAL(submit_for("tiny", &request), 200);
+    caller_free(&request, 1);
+    uint64_t starts = cluster_ledger(&cluster, "starts");
+    CU_ASSERT_EQUAL(submit_for("tiny", &request), 429);
+    CU_ASSERT(request.is_not_run);
+    CU_ASSERT(request.retry_after_s > 0);
+    caller_free(&request, 1);
+    CU_ASSERT_EQUAL(submit_for("nobody", &request), 422);
+    CU_ASSERT(request.is_not_run);
+    caller_free(&request, 1);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), starts);
+}
+
 /// While the platform is out, jobs run on and edits are not accepted.
 static void
 test_outage(void)
@@ -235,6 +268,7 @@
         {"bad section", test_bad_section},
         {"racing operators", test_race},
         {"lost reply", test_lost_reply},
+        {"refusals", test_refusals},
         {"outage", test_outage},
         {"start during an outage", test_start_during_outage},
         {"snapshot and trim", test_snapshot_and_trim},
--- a/tests/functional/test_resubmit.c
+++ b/tests/functional/test_resubmit.c
@@ -93,6 +93,21 @@
     caller_free(&request, 1);
 }
 
+/// A read before the submission proves nothing: a copy may be on its way.
+static void
+test_read_before(void)
+{
+    char id[kCallerIdBytes];
+    caller_request_t request;
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(caller_ask(&request, "GET", NULL,
+                               "http://%s:8080/v1/jobs/%s",
+                               cluster.vms[0].address, id),
+                    404);
+    CU_ASSERT_FALSE(request.is_not_run);
+    caller_free(&request, 1);
+}
+
 /// Refusals of malformed jobs name the place, and nothing runs.
 static void
 test_bad_jobs(void)
@@ -172,6 +187,7 @@
         {"after the end", test_after_the_end},
         {"another body", test_other_body},
         {"guessed id", test_guessed_id},
+        {"read before the submission", test_read_before},
         {"bad jobs", test_bad_jobs},
         {"too large", test_too_large},
         {"cancel", test_cancel},
--- a/tests/support/caller.c
+++ b/tests/support/caller.c
@@ -40,6 +40,9 @@
                sizeof request->next_id);
     take_value(line, "Location: ", request->location,
                sizeof request->location);
+    if (strncasecmp(line, "Retry-After: ", 13) == 0) {
+        request->retry_after_s = (uint32_t)strtoul(line + 13, NULL, 10);
+    }
     if (strncasecmp(line, "Jt-Not-Run: 1", 13) == 0) {
         request->is_not_run = true;
     }
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -17,6 +17,7 @@
     char *reply;      ///< freed by caller_free
     uint32_t reply_bytes;
     bool is_not_run;
+    uint32_t retry_after_s;
     char next_id[kCallerIdBytes];
     char location[kCallerUrlBytes];
 } caller_request_t;
