feat(dispatch): a cancellation that overtakes its submission prevents the start

Cause: cancellations come in waves, and a DELETE before the PUT was answered not_submitted while the PUT went on to start the job (test_resubmit, red before). Solution: the id is spent with a cancelled, not run answer.

--- a/src/dispatch/jobs.c
+++ b/src/dispatch/jobs.c
@@ -308,7 +308,8 @@
 static void
 join_job(job_record_t *record, const job_request_t *request)
 {
-    if (memcmp(record->digest, request->digest, kDigestBytes) != 0) {
+    if (!record->is_unsubmitted &&
+        memcmp(record->digest, request->digest, kDigestBytes) != 0) {
         shard_answer_kind(record->shard, &request->reply_to,
                           kErrorKindConflict);
         return;
@@ -376,9 +377,32 @@
     blob_drop(answer);
 }
 
+/// Cancels a job whose submission has not come yet: when it comes, it starts
+/// nothing.
+static void
+cancel_unsubmitted(shard_t *shard, job_request_t *request)
+{
+    request->arena = arena_create();
+    job_record_t *record = create_record(shard, request);
+    record->is_unsubmitted = true;
+    record->job.state = kJobStateFailed;
+    record->job.kind = kErrorKindCancelled;
+    mint_submit(shard->mint, record->sequence, record);
+    add_waiter(record, &request->reply_to);
+    atomic_fetch_add(&shard->active_count, 1);
+    finish(record, &(answer_detail_t){0});
+}
+
 void
 jobs_cancel(shard_t *shard, job_request_t *request)
 {
+    void *job = NULL;
+    if (mint_judge(shard->mint, &request->id, clock_now_ns(), &job) ==
+        kMintFresh) {
+        counter_add(kCounterJobsCancelled, 1);
+        cancel_unsubmitted(shard, request);
+        return;
+    }
     job_record_t *record = find_held(shard, request);
     if (record == NULL) {
         return;
--- a/src/dispatch/jobs.h
+++ b/src/dispatch/jobs.h
@@ -32,6 +32,7 @@
     uint64_t sequence;
     uint8_t digest[kDigestBytes];
     waiter_t *waiters;
+    bool is_unsubmitted; ///< cancelled before any submission came
 
     job_t job; ///< its tasks are freed at the end
     char id_text[kJobIdTextBytes];
--- a/tests/functional/test_resubmit.c
+++ b/tests/functional/test_resubmit.c
@@ -108,6 +108,29 @@
     caller_free(&request, 1);
 }
 
+/// A cancellation that overtakes its submission: nothing starts.
+static void
+test_cancel_before(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t cancel;
+    caller_request_t submit;
+    uint64_t before = cluster_ledger(&cluster, "starts");
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(caller_ask(&cancel, "DELETE", NULL,
+                               "http://%s:8080/v1/jobs/%s",
+                               cluster.vms[0].address, id),
+                    409);
+    CU_ASSERT(cancel.is_not_run);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &submit), 409);
+    CU_ASSERT_STRING_EQUAL(submit.reply, cancel.reply);
+    CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
+    caller_free(&cancel, 1);
+    caller_free(&submit, 1);
+}
+
 /// Refusals of malformed jobs name the place, and nothing runs.
 static void
 test_bad_jobs(void)
@@ -188,6 +211,7 @@
         {"another body", test_other_body},
         {"guessed id", test_guessed_id},
         {"read before the submission", test_read_before},
+        {"cancel before the submission", test_cancel_before},
         {"bad jobs", test_bad_jobs},
         {"too large", test_too_large},
         {"cancel", test_cancel},
