--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -72,13 +72,81 @@
     document_destroy(document);
 }
 
+enum { kRecords = 4, kBases = 5, kSections = 2 };
+
+/// The rule as model/config.pml has it: the offset of each section's last
+/// accepted edit.
+typedef struct {
+    uint64_t sections[kSections];
+} model_t;
+
+static const char *const names[kSections] = {"a", "b"};
+
+static void
+check_against(const document_t *document, const model_t *model)
+{
+    for (uint32_t i = 0; i < kSections; i++) {
+        const section_entry_t *section = document_find(document, names[i]);
+        uint64_t offset = section == NULL ? 0 : section->offset;
+        CU_ASSERT_EQUAL_FATAL(offset, model->sections[i]);
+    }
+}
+
+/// Every log of four edits on two sections with any bases: one reader that
+/// judges all, and one that takes the document over halfway, agree with the
+/// model at each offset.
+static void
+test_against_model(void)
+{
+    uint32_t runs = 1;
+    for (uint32_t i = 0; i < kRecords; i++) {
+        runs *= kBases * kSections;
+    }
+    for (uint32_t run = 0; run < runs; run++) {
+        document_t *reader = document_create(check_text);
+        document_t *late = document_create(check_text);
+        arena_t *arena = arena_create();
+        model_t model = {{0}};
+        uint32_t rest = run;
+        for (uint64_t offset = 1; offset <= kRecords;
+             offset++, rest /= kBases * kSections) {
+            error_info_t err = {0};
+            uint32_t section = rest % kSections;
+            log_record_t record = {.section = names[section],
+                                   .base = rest / kSections % kBases,
+                                   .edit_id = "",
+                                   .text = "text"};
+            if (record.base == model.sections[section]) {
+                model.sections[section] = offset;
+            }
+            document_apply(reader, offset, &record, &err);
+            document_apply(late, offset, &record, &err);
+            check_against(reader, &model);
+            if (offset == kRecords / 2) {
+                uint32_t count = 0;
+                section_entry_t *list =
+                    document_list(reader, 0, arena, &count);
+                document_destroy(late);
+                late = document_create(check_text);
+                document_adopt(late, offset, list, count);
+            }
+            check_against(late, &model);
+        }
+        arena_destroy(arena);
+        document_destroy(late);
+        document_destroy(reader);
+    }
+}
+
 int
 main(void)
 {
-    static const CU_TestInfo tests[] = {{"racing edits", test_race},
-                                        {"adopt", test_adopt},
-                                        {"removed section", test_removed},
-                                        CU_TEST_INFO_NULL};
+    static const CU_TestInfo tests[] = {
+        {"racing edits", test_race},
+        {"adopt", test_adopt},
+        {"removed section", test_removed},
+        {"against the model", test_against_model},
+        CU_TEST_INFO_NULL};
     apr_initialize();
     return suite_run("document", tests);
 }
--- a/tests/unit/test_mint.c
+++ b/tests/unit/test_mint.c
@@ -67,6 +67,83 @@
     mint_destroy(mint);
 }
 
+/// What the home model says of one id: the variables of model/home.pml.
+typedef struct {
+    bool is_submitted;
+    bool is_held;
+    bool is_expired;
+} model_t;
+
+/// Steps of the model.
+typedef enum { kStepSubmit, kStepForget, kStepExpire, kStepCount } step_t;
+
+static mint_verdict_t
+model_verdict(const model_t *model)
+{
+    if (model->is_submitted) {
+        return model->is_held ? kMintHeld : kMintForgotten;
+    }
+    return model->is_expired ? kMintExpired : kMintFresh;
+}
+
+/// Takes one step in the model and in the code, where the model allows it.
+static void
+take_step(step_t step, model_t *model, mint_t *mint, const job_id_t *id,
+          int64_t *now_ns)
+{
+    static int record;
+    switch (step) {
+    case kStepSubmit:
+        if (model_verdict(model) == kMintFresh) {
+            model->is_submitted = true;
+            model->is_held = true;
+            mint_submit(mint, id->sequence, &record);
+        }
+        break;
+    case kStepForget:
+        model->is_held = false;
+        mint_forget(mint, id->sequence);
+        break;
+    default:
+        model->is_expired = true;
+        *now_ns = 1000;
+        break;
+    }
+}
+
+/// Every sequence of steps on two ids of one block: the code says what the
+/// model says, after each.
+static void
+test_against_model(void)
+{
+    enum { kDepth = 6, kIds = 2, kMoves = kStepCount * kIds };
+    uint32_t runs = 1;
+    for (uint32_t i = 0; i < kDepth; i++) {
+        runs *= kMoves;
+    }
+    for (uint32_t run = 0; run < runs; run++) {
+        mint_t *mint = mint_create(&home, secret, 0, 1);
+        job_id_t ids[kIds];
+        model_t models[kIds] = {{0}};
+        int64_t now_ns = 0;
+        void *job = NULL;
+        mint_take(mint, kIds, 0, 1000, ids);
+        uint32_t rest = run;
+        for (uint32_t i = 0; i < kDepth; i++, rest /= kMoves) {
+            uint32_t id = rest % kMoves % kIds;
+            step_t step = rest % kMoves / kIds;
+            take_step(step, &models[id], mint, &ids[id], &now_ns);
+            // Both ids share the block's deadline.
+            models[1 - id].is_expired |= step == kStepExpire;
+            for (uint32_t j = 0; j < kIds; j++) {
+                CU_ASSERT_EQUAL_FATAL(mint_judge(mint, &ids[j], now_ns, &job),
+                                      model_verdict(&models[j]));
+            }
+        }
+        mint_destroy(mint);
+    }
+}
+
 int
 main(void)
 {
@@ -74,6 +151,7 @@
         {"life of an id", test_life_of_an_id},
         {"not minted", test_not_minted},
         {"expired for good", test_expired_for_good},
+        {"against the model", test_against_model},
         CU_TEST_INFO_NULL};
     return suite_run("mint", tests);
 }
