perf(dispatch): spread the ids of a front over all shards

Cause: a mint was served by the shard of the front's connection from its own sequence numbers, so that all jobs of a front ran on one thread (found while a test of silent connections would not turn red). Now each shard mints every so manieth id.

fix(dispatch): distrust idle connections after one went silent Problem: something that loses track of connections loses many; each of them ended one job by its lease (test_silence, 'cut off data centre', red at times). Solution: after a try that met silence, new connections are used until the old ones have idled too long.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -85,6 +85,8 @@
     shard_t *shards;
     uint32_t shard_count;
     _Atomic bool is_draining;
+    _Atomic int64_t
+        fresh_until_ns; ///< idle connections are not used until then
 
     loop_t *loop; ///< of the control thread
     listener_t *listener;
--- a/src/dispatch/shard.c
+++ b/src/dispatch/shard.c
@@ -124,6 +124,67 @@
     conn_send(session->conn, kMessageHello, &own);
 }
 
+/// A mint on its way through the shards. Each mints every so manieth id, so
+/// that the jobs of one front are spread over all of them.
+typedef struct {
+    mail_t mail;
+    shard_t *shard;
+    reply_to_t to;
+    uint32_t count;
+    uint32_t visited_count; ///< shards that have minted their part
+    int64_t start_by_ns;    ///< the earliest deadline so far
+    uint8_t *packed;
+} mint_mail_t;
+
+/// Sends the ids to whoever asked.
+static void
+run_minted(mail_t *mail)
+{
+    mint_mail_t *letter = caa_container_of(mail, mint_mail_t, mail);
+    session_t *session = find_session(letter->shard, &letter->to);
+    if (session != NULL) {
+        minted_message_t minted = {
+            .request = letter->to.request,
+            .left_ms = clock_left_ms(letter->start_by_ns),
+            .ids = {.data = letter->packed,
+                    .size_bytes = letter->count * kJobIdPackedBytes}};
+        conn_send(session->conn, kMessageMinted, &minted);
+    }
+    counter_add(kCounterJobsMinted, letter->count);
+    atomic_fetch_sub(&letter->shard->active_count, 1);
+    free(letter->packed);
+    free(letter);
+}
+
+/// Mints one shard's part and passes the rest on.
+static void
+run_mint(mail_t *mail)
+{
+    mint_mail_t *letter = caa_container_of(mail, mint_mail_t, mail);
+    shard_t *shard = letter->shard;
+    dispatch_t *dispatch = shard->dispatch;
+    int64_t length_ns = (int64_t)dispatch->settings->start_by_ms * kNsPerMs;
+    for (uint32_t place = letter->visited_count; place < letter->count;
+         place += dispatch->shard_count) {
+        job_id_t id;
+        int64_t start_by_ns =
+            mint_take(shard->mint, 1, clock_now_ns(), length_ns, &id);
+        if (start_by_ns < letter->start_by_ns) {
+            letter->start_by_ns = start_by_ns;
+        }
+        job_id_pack(&id, letter->packed + (size_t)place * kJobIdPackedBytes);
+    }
+    atomic_store(&shard->last_start_by_ns, mint_last_start_by_ns(shard->mint));
+    letter->visited_count++;
+    bool is_done = letter->visited_count >= dispatch->shard_count ||
+                   letter->visited_count >= letter->count;
+    uint32_t next = is_done ? letter->to.shard
+                            : (shard->number + 1) % dispatch->shard_count;
+    letter->mail.run = is_done ? run_minted : run_mint;
+    letter->shard = &dispatch->shards[next];
+    loop_post(letter->shard->loop, &letter->mail);
+}
+
 static void
 take_mint(session_t *session, bytes_t body, arena_t *arena)
 {
@@ -133,28 +194,21 @@
         conn_close(session->conn);
         return;
     }
-    shard_t *shard = session->shard;
-    minted_message_t minted = {.request = message.request};
-    if (atomic_load(&shard->dispatch->is_draining)) {
-        minted.kind = kErrorKindDraining;
+    if (atomic_load(&session->shard->dispatch->is_draining)) {
+        minted_message_t minted = {.request = message.request,
+                                   .kind = kErrorKindDraining};
         conn_send(session->conn, kMessageMinted, &minted);
         return;
     }
-    job_id_t *ids = apr_palloc(arena, message.count * sizeof(job_id_t));
-    uint8_t *packed =
-        apr_palloc(arena, (size_t)message.count * kJobIdPackedBytes);
-    int64_t start_by_ns = mint_take(
-        shard->mint, message.count, clock_now_ns(),
-        (int64_t)shard->dispatch->settings->start_by_ms * kNsPerMs, ids);
-    for (uint32_t i = 0; i < message.count; i++) {
-        job_id_pack(&ids[i], packed + (size_t)i * kJobIdPackedBytes);
-    }
-    atomic_store(&shard->last_start_by_ns, mint_last_start_by_ns(shard->mint));
-    counter_add(kCounterJobsMinted, message.count);
-    minted.left_ms = clock_left_ms(start_by_ns);
-    minted.ids = (bytes_t){.data = packed,
-                           .size_bytes = message.count * kJobIdPackedBytes};
-    conn_send(session->conn, kMessageMinted, &minted);
+    // Counts as work in progress, which a planned stop waits for.
+    atomic_fetch_add(&session->shard->active_count, 1);
+    mint_mail_t *letter = calloc(1, sizeof *letter);
+    letter->shard = session->shard;
+    letter->to = reply_address(session, message.request);
+    letter->count = message.count;
+    letter->start_by_ns = INT64_MAX;
+    letter->packed = malloc((size_t)message.count * kJobIdPackedBytes);
+    run_mint(&letter->mail);
 }
 
 /// A request on its way to the shard that owns its job.
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -117,6 +117,16 @@
                record->shard->dispatch->settings->retry_limit;
 }
 
+/// A connection went silent. What lost track of it may have lost the other
+/// idle ones too: none of them is used until it has idled too long anyway.
+static void
+distrust_idle(shard_t *shard, int64_t now_ns)
+{
+    int64_t trust_ns =
+        (int64_t)shard->dispatch->settings->idle_trust_ms * kNsPerMs;
+    atomic_store(&shard->dispatch->fresh_until_ns, now_ns + trust_ns);
+}
+
 static void
 on_reply(void *owner, const http_reply_t *reply)
 {
@@ -126,6 +136,9 @@
     int64_t now_ns = clock_now_ns();
     judgement_t judgement = judge(reply);
     count_judgement(judgement.event);
+    if (reply->is_silent) {
+        distrust_idle(shard, now_ns);
+    }
     if (reply->has_leaving) {
         target_note_leaving(attempt->target, now_ns);
     }
@@ -203,6 +216,9 @@
                         .deadline_ns = lease_ns,
                         .connect_limit_ms = settings->connect_limit_ms,
                         .idle_trust_ms = settings->idle_trust_ms,
+                        .needs_fresh =
+                            attempt->started_ns <
+                            atomic_load(&shard->dispatch->fresh_until_ns),
                         .on_done = on_reply,
                         .owner = attempt};
     counter_add(kCounterTriesStarted, 1);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -219,6 +219,8 @@
     http_reply_t reply = request->reply;
     reply.end = judge_end(request, code);
     reply.status = (uint32_t)status;
+    reply.is_silent = code == CURLE_OPERATION_TIMEDOUT &&
+                      request->pass_count > 0 && status == 0;
     reply.body.data = request->body;
     http_done_t on_done = request->on_done;
     void *owner = request->owner;
@@ -433,6 +435,7 @@
     CURL *easy = request->easy;
     uint32_t left_ms = clock_left_ms(spec->deadline_ns);
     set_lasting_options(request, spec);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, spec->needs_fresh ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_URL, spec->url);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER,
                      link_headers(request, spec->headers));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,6 +24,7 @@
 /// What came back. Valid during the callback.
 typedef struct {
     http_end_t end;
+    bool is_silent; ///< sent, and not a byte came back in time
     uint32_t status;
     bytes_t body;
     bool has_not_run;      ///< Jt-Not-Run: 1
@@ -46,6 +47,7 @@
     int64_t deadline_ns;
     uint32_t connect_limit_ms;
     uint32_t idle_trust_ms; ///< longest idle time of a connection to reuse
+    bool needs_fresh;       ///< a connection of its own, not one that idled
     http_done_t on_done;
     void *owner;
 } http_spec_t;
--- a/tests/functional/test_resubmit.c
+++ b/tests/functional/test_resubmit.c
@@ -108,6 +108,27 @@
     caller_free(&request, 1);
 }
 
+/// The ids that one front gets are spread over all shards of a dispatcher.
+static void
+test_ids_over_shards(void)
+{
+    enum { kSequenceEnd = 2 * (2 + 4 + 8 + 8) };
+    caller_request_t request;
+    uint32_t odd_count = 0;
+    uint32_t count = 0;
+    caller_ask(&request, "POST", "", "http://%s:8080/v1/job-ids?count=8",
+               cluster.vms[0].address);
+    const char *at = request.reply;
+    while (at != NULL && (at = strstr(at, "\"id\":\"")) != NULL) {
+        at += strlen("\"id\":\"");
+        odd_count += strchr("13579bdf", at[kSequenceEnd - 1]) != NULL;
+        count++;
+    }
+    CU_ASSERT_EQUAL(count, 8);
+    CU_ASSERT_EQUAL(odd_count, 4);
+    caller_free(&request, 1);
+}
+
 /// A cancellation that overtakes its submission: nothing starts.
 static void
 test_cancel_before(void)
@@ -211,6 +232,7 @@
         {"another body", test_other_body},
         {"guessed id", test_guessed_id},
         {"read before the submission", test_read_before},
+        {"ids over shards", test_ids_over_shards},
         {"cancel before the submission", test_cancel_before},
         {"bad jobs", test_bad_jobs},
         {"too large", test_too_large},
