perf(dispatch): shards take turns at freed slots

Cause: since ids are spread over the shards, a shard that had the slots started its own next task on each freed one, and the other's jobs waited.

--- a/src/dispatch/shard.c
+++ b/src/dispatch/shard.c
@@ -443,6 +443,7 @@
     retry_budget_init(&shard->retries);
     loop_timer_init(&shard->hold_timer, jobs_end_hold, shard);
     loop_timer_init(&shard->pump_timer, tries_pump_again, shard);
+    shard->pump_mail.run = tries_pump_by_mail;
 }
 
 static void *APR_THREAD_FUNC
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -127,6 +127,28 @@
     atomic_store(&shard->dispatch->fresh_until_ns, now_ns + trust_ns);
 }
 
+/// Lets the shards whose tasks wait take turns at freed slots, so that the
+/// jobs of one shard do not keep all slots once they have them.
+static void
+offer_slot(shard_t *shard)
+{
+    dispatch_t *dispatch = shard->dispatch;
+    for (uint32_t i = 0; i < dispatch->shard_count; i++) {
+        shard_t *other =
+            &dispatch->shards[shard->next_pump++ % dispatch->shard_count];
+        if (other == shard) {
+            break;
+        }
+        if (atomic_load(&other->waiting_count) > 0) {
+            if (!atomic_exchange(&other->is_pump_posted, true)) {
+                loop_post(other->loop, &other->pump_mail);
+            }
+            return;
+        }
+    }
+    tries_pump(shard);
+}
+
 static void
 on_reply(void *owner, const http_reply_t *reply)
 {
@@ -161,7 +183,7 @@
                              may_retry(record, attempt->task, &judgement)};
     free(attempt);
     jobs_apply(record, &event);
-    tries_pump(shard);
+    offer_slot(shard);
 }
 
 /// Fills in the request of a try.
@@ -289,6 +311,14 @@
     tries_pump(timer->owner);
 }
 
+void
+tries_pump_by_mail(mail_t *mail)
+{
+    shard_t *shard = caa_container_of(mail, shard_t, pump_mail);
+    atomic_store(&shard->is_pump_posted, false);
+    tries_pump(shard);
+}
+
 void
 tries_stop(job_record_t *record)
 {
