--- a/tests/functional/test_stop.c
+++ b/tests/functional/test_stop.c
@@ -9,7 +9,7 @@
 #include "support/cluster.h"
 #include "support/suite.h"
 
-enum { kJobBytes = 4096, kTasks = 3, kLoads = 4 };
+enum { kJobBytes = 4096, kTasks = 3, kLoads = 4, kOutputBytes = 16384 };
 
 static cluster_t cluster;
 static _Atomic bool is_front_serving[kClusterVms]; ///< as a balancer sees it
@@ -157,6 +157,39 @@
     CU_ASSERT_EQUAL(cluster_ledger(&cluster, "starts"), before);
 }
 
+/// A wait until a dispatcher knows of one entry VM less.
+static bool
+is_list_seen(void *state)
+{
+    char output[kOutputBytes];
+    (void)state;
+    cluster_ctl(&cluster, 1, 7401, output, sizeof output, "dump");
+    return strstr(output, "\"entry_vms\":1,") != NULL;
+}
+
+/// A VM that the list calls leaving, though late, still answers for its ids,
+/// and new jobs go on.
+static void
+test_lagging_list(void)
+{
+    char id[kCallerIdBytes];
+    char job[kJobBytes];
+    caller_request_t first;
+    caller_request_t again;
+    cluster_set_platform(&cluster, "lag_ms=200");
+    cluster_list_vms(&cluster, UINT32_MAX, 0);
+    cluster_job(job, sizeof job, kTasks, 5, 20000);
+    cluster_mint(&cluster, 0, id);
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &first), 200);
+    cluster_wait(is_list_seen, NULL, "the late list is seen");
+    CU_ASSERT_EQUAL(cluster_submit(&cluster, 1, id, job, &again), 200);
+    CU_ASSERT_STRING_EQUAL(first.reply, again.reply);
+    caller_free(&first, 1);
+    caller_free(&again, 1);
+    cluster_set_platform(&cluster, "lag_ms=0");
+    cluster_list_vms(&cluster, UINT32_MAX, UINT32_MAX);
+}
+
 /// A target that says it is leaving gets no new work, though the list still
 /// calls it live.
 static void
@@ -194,6 +227,7 @@
     static const CU_TestInfo tests[] = {
         {"rolling restart under load", test_rolling_restart},
         {"answer after a stop", test_answer_after_stop},
+        {"lagging list", test_lagging_list},
         {"leaving target", test_leaving_target},
         CU_TEST_INFO_NULL};
     apr_initialize();
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -7,6 +7,7 @@
 ///   GET  /v1/vms               the list
 ///   PUT  /standin/vms          sets the list
 ///   POST /standin/set?K=V&...  outage=0|1 slow_ms=N lose_replies=N trim_to=N
+///                              lag_ms=N until a new list is shown
 ///   GET  /standin/log          {"first", "next", "requests"}
 #include <apr_general.h>
 #include <argp.h>
@@ -32,6 +33,9 @@
     uint64_t first;
     char *vms;
     uint64_t vms_version;
+    char *next_vms;  ///< list that is not shown yet
+    uint32_t lag_ms; ///< until a new list is shown
+    loop_timer_t lag;
     bool is_out;
     uint32_t slow_ms;
     uint32_t lose_replies;
@@ -144,6 +148,8 @@
         (uint32_t)query_number(path, "slow_ms=", platform->slow_ms);
     platform->lose_replies =
         (uint32_t)query_number(path, "lose_replies=", platform->lose_replies);
+    platform->lag_ms =
+        (uint32_t)query_number(path, "lag_ms=", platform->lag_ms);
     uint64_t trim_to = query_number(path, "trim_to=", platform->first);
     while (platform->first < trim_to && platform->first < platform->next) {
         free(platform->records[platform->first - 1]);
@@ -204,6 +210,32 @@
     }
 }
 
+/// Shows the list that was set last.
+static void
+show_list(loop_timer_t *timer)
+{
+    platform_t *platform = timer->owner;
+    free(platform->vms);
+    platform->vms = platform->next_vms;
+    platform->next_vms = NULL;
+    platform->vms_version++;
+}
+
+/// Takes a list, which is shown after the lag.
+static void
+take_list(platform_t *platform, const server_request_t *request)
+{
+    free(platform->next_vms);
+    platform->next_vms = strndup(request->body, request->body_bytes);
+    if (platform->lag_ms == 0) {
+        loop_timer_clear(platform->server.loop, &platform->lag);
+        show_list(&platform->lag);
+        return;
+    }
+    loop_timer_set(platform->server.loop, &platform->lag,
+                   clock_deadline_ns(platform->lag_ms));
+}
+
 static void
 serve(void *owner, server_conn_t *conn, const server_request_t *request)
 {
@@ -212,9 +244,7 @@
         serve_set(platform, conn, request);
     }
     else if (strcmp(request->path, "/standin/vms") == 0) {
-        free(platform->vms);
-        platform->vms = strndup(request->body, request->body_bytes);
-        platform->vms_version++;
+        take_list(platform, request);
         server_reply(conn, 200, "", "{}", 2);
     }
     else if (strcmp(request->path, "/standin/log") == 0) {
@@ -270,6 +300,7 @@
         .vms = strdup("{\"vms\":[]}"),
         .vms_version = 1};
     platform.server.owner = &platform;
+    loop_timer_init(&platform.lag, show_list, &platform);
     if (!server_open(&platform.server, options.address, options.port, &err)) {
         fprintf(stderr, "standin-platform: %s\n", err.text);
         return 1;
