--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -66,5 +66,13 @@
     's/if (offset < document->next) {/if (offset + 100 < document->next) {/'
 mutant not-run-is-kept test_job src/core/job.c \
     's/move_tasks(job, kTaskStateWaiting, kTaskStateNotRun, kind);/move_tasks(job, kTaskStateWaiting, kTaskStateDone, kind);/'
+mutant read-proves-nothing functional_test_resubmit src/generated/errors.c \
+    '/"not_submitted"/,/retry/ s/kRunMayHaveRun/kRunNotRun/'
+mutant early-cancel functional_test_resubmit src/dispatch/jobs.c \
+    's/^        cancel_unsubmitted(shard, request);/        shard_answer_kind(shard, \&request->reply_to, kErrorKindNotSubmitted);/'
+mutant ids-over-shards functional_test_resubmit src/dispatch/shard.c \
+    's/place += dispatch->shard_count/place += 1/;s/bool is_done = /bool is_done = true || /'
+mutant empty-list functional_test_platform src/agent/agent.c \
+    's/if (!members_has_entry(vms, vm_count)) {/if (false) {/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
