--- a/tests/functional/test_kill.c
+++ b/tests/functional/test_kill.c
@@ -109,24 +109,6 @@
     check_home_lost(id, job);
 }
 
-/// The front is frozen while it waits for the answer, and wakes.
-static void
-test_freeze_front(void)
-{
-    char id[kCallerIdBytes];
-    caller_request_t request;
-    caller_batch_t batch;
-    cluster_mint(&cluster, 0, id);
-    start_long_job(0, 200, id, &request, &batch);
-    cluster_signal(&cluster, 0, kPartFront, SIGSTOP);
-    apr_sleep(700000);
-    cluster_signal(&cluster, 0, kPartFront, SIGCONT);
-    caller_join(&batch);
-    CU_ASSERT_EQUAL(request.status, 200);
-    caller_free(&request, 1);
-    check_ledger();
-}
-
 /// A frozen agent holds nobody up.
 static void
 test_freeze_agent(void)
@@ -185,24 +167,36 @@
     check_ledger();
 }
 
-/// The home is frozen while its tasks run, and wakes: one whole answer.
+/// Freezes a part while it has a job in hand, and wakes it: one whole answer.
 static void
-test_freeze_dispatcher(void)
+check_freeze(part_t part)
 {
     char id[kCallerIdBytes];
     caller_request_t request;
     caller_batch_t batch;
     cluster_mint(&cluster, 0, id);
     start_long_job(0, 200, id, &request, &batch);
-    cluster_signal(&cluster, 0, kPartDispatch, SIGSTOP);
+    cluster_signal(&cluster, 0, part, SIGSTOP);
     apr_sleep(700000);
-    cluster_signal(&cluster, 0, kPartDispatch, SIGCONT);
+    cluster_signal(&cluster, 0, part, SIGCONT);
     caller_join(&batch);
     CU_ASSERT_EQUAL(request.status, 200);
     caller_free(&request, 1);
     check_ledger();
 }
 
+static void
+test_freeze_dispatcher(void)
+{
+    check_freeze(kPartDispatch);
+}
+
+static void
+test_freeze_front(void)
+{
+    check_freeze(kPartFront);
+}
+
 /// A frozen home is out of reach, not over: unknown, ask again; after it
 /// wakes, the whole answer.
 static void
