--- a/Makefile
+++ b/Makefile
@@ -20,14 +20,18 @@
 
 generate:
 	$(PYTHON) gen/generate.py schema src/generated docs/reference.md
-	clang-format -i src/generated/*.c src/generated/*.h
+	$(PYTHON) gen/generate.py --adapter platform/schema platform/generated
+	clang-format -i src/generated/*.c src/generated/*.h platform/generated/*.c platform/generated/*.h
 
 # Fails where the committed code differs from what the schema gives.
 check-generated:
 	rm -rf $(BUILD)/generated
 	$(PYTHON) gen/generate.py schema $(BUILD)/generated $(BUILD)/reference.md
+	$(PYTHON) gen/generate.py --adapter platform/schema $(BUILD)/generated/platform
 	cp .clang-format $(BUILD)/
-	clang-format -i $(BUILD)/generated/*.c $(BUILD)/generated/*.h
+	find $(BUILD)/generated -name '*.[ch]' -exec clang-format -i {} +
+	diff -r $(BUILD)/generated/platform platform/generated
+	rm -rf $(BUILD)/generated/platform
 	diff -r $(BUILD)/generated src/generated
 	diff $(BUILD)/reference.md docs/reference.md
 
@@ -38,7 +42,7 @@
 	clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
-	printf '%s\n' $(filter src/%.c,$(SOURCES)) | \
+	printf '%s\n' $(filter src/%.c platform/%.c,$(SOURCES)) | \
 		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 
 unit: build
--- a/src/base/record.c
+++ b/src/base/record.c
@@ -11,6 +11,7 @@
         *(uint16_t *)at = (uint16_t)field->def;
         break;
     case kFieldU32:
+    case kFieldMilli:
     case kFieldEnum:
         *(uint32_t *)at = (uint32_t)field->def;
         break;
--- a/src/base/record.h
+++ b/src/base/record.h
@@ -17,6 +17,7 @@
     kFieldU16,
     kFieldU32,
     kFieldU64,
+    kFieldMilli, ///< u32 in 1/1000; JSON: a number, with fractions
     kFieldBool,
     kFieldStr,
     kFieldBytes,
@@ -42,6 +43,7 @@
     bool is_list;
     uint32_t offset_bytes;       ///< of the value, or of a list's pointer
     uint32_t count_offset_bytes; ///< of a list's count
+    uint32_t item_bytes;         ///< size of a list's item
     uint64_t min;                ///< least number, length or count
     uint64_t max;                ///< largest number, length or count
     uint64_t def;                ///< number that an absent field gets
@@ -55,6 +57,8 @@
     const field_desc_t *fields;
     uint32_t field_count;
     uint32_t size_bytes;
+    bool is_open; ///< JSON: other keys, and null values, are passed over
+    bool is_row;  ///< JSON: an array of the fields in order
 };
 
 /// Sets a record to its defaults, nested records too.
--- a/src/codec/json.c
+++ b/src/codec/json.c
@@ -83,6 +83,21 @@
     return true;
 }
 
+/// Reads a number with fractions as a whole number of thousandths.
+static bool
+read_milli(reader_t *reader, json_object *object, const field_desc_t *field,
+           uint32_t *out)
+{
+    bool is_number = json_object_is_type(object, json_type_int) ||
+                     json_object_is_type(object, json_type_double);
+    double milli = is_number ? json_object_get_double(object) * 1000 + 0.5 : 0;
+    if (!is_number || !(milli >= 0 && milli <= (double)field->max)) {
+        return refuse(reader, object, "a number");
+    }
+    *out = (uint32_t)milli;
+    return true;
+}
+
 static bool
 read_enum(reader_t *reader, json_object *object, const field_desc_t *field,
           uint32_t *out)
@@ -148,6 +163,8 @@
         return true;
     case kFieldU64:
         return read_number(reader, object, field, (uint64_t *)at);
+    case kFieldMilli:
+        return read_milli(reader, object, field, (uint32_t *)at);
     case kFieldBool:
         if (!json_object_is_type(object, json_type_boolean)) {
             return refuse(reader, object, "true or false");
@@ -187,7 +204,7 @@
     if (count < field->min || (field->max > 0 && count > field->max)) {
         return refuse(reader, object, allowed);
     }
-    uint32_t item_bytes = field->record->size_bytes;
+    uint32_t item_bytes = field->item_bytes;
     uint8_t *items = apr_palloc(reader->arena, (size_t)count * item_bytes + 1);
     for (uint32_t i = 0; i < count; i++) {
         size_t length = path_enter_item(reader, i);
@@ -232,11 +249,12 @@
 
 static bool
 read_field(reader_t *reader, json_object *object, const field_desc_t *field,
-           uint8_t *out)
+           bool is_open, uint8_t *out)
 {
     json_object *value = NULL;
     size_t length = path_enter_key(reader, field->name);
-    if (!json_object_object_get_ex(object, field->name, &value)) {
+    bool is_there = json_object_object_get_ex(object, field->name, &value);
+    if (!is_there || (value == NULL && is_open)) {
         if (field->required) {
             return error_set(reader->err, reader->kind,
                              "%s: found nothing, a value is required",
@@ -254,19 +272,51 @@
     return is_read;
 }
 
+/// Reads an array that holds the fields in order; further items are passed
+/// over.
+static bool
+read_row(reader_t *reader, json_object *object, const record_desc_t *desc,
+         uint8_t *out)
+{
+    if (!json_object_is_type(object, json_type_array)) {
+        return refuse(reader, object, "an array");
+    }
+    size_t count = json_object_array_length(object);
+    for (uint32_t i = 0; i < desc->field_count; i++) {
+        const field_desc_t *field = &desc->fields[i];
+        if (i >= count) {
+            if (field->required) {
+                return refuse(reader, object, "a longer array");
+            }
+            continue;
+        }
+        size_t length = path_enter_item(reader, i);
+        if (!read_value(reader, json_object_array_get_idx(object, i), field,
+                        out + field->offset_bytes)) {
+            return false;
+        }
+        path_leave(reader, length);
+    }
+    return true;
+}
+
 static bool
 read_record(reader_t *reader, json_object *object, const record_desc_t *desc,
             uint8_t *out)
 {
     record_set_defaults(desc, out);
+    if (desc->is_row) {
+        return read_row(reader, object, desc, out);
+    }
     if (!json_object_is_type(object, json_type_object)) {
         return refuse(reader, object, "an object");
     }
-    if (!check_keys(reader, object, desc)) {
+    if (!desc->is_open && !check_keys(reader, object, desc)) {
         return false;
     }
     for (uint32_t i = 0; i < desc->field_count; i++) {
-        if (!read_field(reader, object, &desc->fields[i], out)) {
+        if (!read_field(reader, object, &desc->fields[i], desc->is_open,
+                        out)) {
             return false;
         }
     }
@@ -310,6 +360,8 @@
         return json_object_new_uint64(*(const uint32_t *)at);
     case kFieldU64:
         return json_object_new_uint64(*(const uint64_t *)at);
+    case kFieldMilli:
+        return json_object_new_double(*(const uint32_t *)at / 1000.0);
     case kFieldBool:
         return json_object_new_boolean(*(const bool *)at);
     case kFieldStr: {
@@ -350,8 +402,8 @@
             for (uint32_t j = 0; j < count; j++) {
                 json_object_array_add(
                     value,
-                    build_value(field, items + (size_t)j *
-                                                   field->record->size_bytes));
+                    build_value(field,
+                                items + (size_t)j * field->item_bytes));
             }
         }
         else {
--- a/src/codec/pack.c
+++ b/src/codec/pack.c
@@ -16,6 +16,7 @@
         msgpack_pack_uint16(packer, *(const uint16_t *)at);
         break;
     case kFieldU32:
+    case kFieldMilli:
     case kFieldEnum:
         msgpack_pack_uint32(packer, *(const uint32_t *)at);
         break;
@@ -69,7 +70,7 @@
         msgpack_pack_array(packer, count);
         for (uint32_t j = 0; j < count; j++) {
             write_value(packer, field,
-                        items + (size_t)j * field->record->size_bytes);
+                        items + (size_t)j * field->item_bytes);
         }
     }
 }
@@ -159,6 +160,7 @@
         *(uint16_t *)at = (uint16_t)number;
         return true;
     case kFieldU32:
+    case kFieldMilli:
     case kFieldEnum:
         if (!read_number(object, field, &number, err)) {
             return false;
@@ -203,7 +205,7 @@
     if (count < field->min || (field->max > 0 && count > field->max)) {
         return fail(err, field, "count out of range");
     }
-    uint32_t item_bytes = field->record->size_bytes;
+    uint32_t item_bytes = field->item_bytes;
     uint8_t *items = apr_palloc(arena, (size_t)count * item_bytes + 1);
     for (uint32_t i = 0; i < count; i++) {
         if (!read_value(&object->via.array.ptr[i], field, arena,
--- /dev/null
+++ b/src/node/home.c
@@ -0,0 +1,205 @@
+#include "node/home.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "node/owner.h"
+#include "node/peers.h"
+#include "shell/clock.h"
+#include "shell/log.h"
+
+enum {
+    kSilencePercent = 50,      ///< of resubmit_ms: the longest silence of a link
+    kAnswerGraceMs = 300,      ///< beyond the caller's deadline
+    kNoOwnerRetryMs = 1000     ///< told to callers while no owner is known
+};
+
+int64_t
+home_silence_ns(const node_t *node)
+{
+    return (int64_t)node->settings->resubmit_ms * kSilencePercent / 100 *
+           kNsPerMs;
+}
+
+static void
+link_job(node_t *node, caller_job_t *job)
+{
+    job->next = node->jobs;
+    job->prev = NULL;
+    if (node->jobs != NULL) {
+        node->jobs->prev = job;
+    }
+    node->jobs = job;
+    atomic_fetch_add(&node->job_count, 1);
+}
+
+static void
+settle(caller_job_t *job, order_outcome_t outcome, error_kind_t kind,
+       uint32_t retry_after_ms)
+{
+    node_t *node = job->node;
+    if (job->prev != NULL) {
+        job->prev->next = job->next;
+    }
+    else {
+        node->jobs = job->next;
+    }
+    if (job->next != NULL) {
+        job->next->prev = job->prev;
+    }
+    atomic_fetch_sub(&node->job_count, 1);
+    job->outcome = outcome;
+    job->kind = kind;
+    job->retry_after_ms = retry_after_ms;
+    log_event("job_settled",
+              "job=%s outcome=%s kind=%s took_ms=%lld tries=%u priority=%u "
+              "tasks=%u estimate_ms=%u",
+              job->order.job, order_outcome_desc.values[outcome],
+              error_answers[kind].name,
+              (long long)((clock_now_ns() - job->received_ns) / kNsPerMs),
+              job->tried_count, job->order.priority,
+              job->order.steps[0].task_count, job->order.steps[0].estimate_ms);
+    job->on_settled(job);
+}
+
+/// Hands a job to an owner that has not refused it yet.
+///
+/// @return whether there was one
+static bool
+assign(caller_job_t *job)
+{
+    node_t *node = job->node;
+    int64_t now_ns = clock_now_ns();
+    bool is_self = false;
+    if (job->tried_count >= kHomeTryLimit) {
+        return false;
+    }
+    peer_t *peer = peers_choose(node, job, &is_self);
+    if (peer == NULL && !is_self) {
+        return false;
+    }
+    job->peer = peer;
+    job->tried[job->tried_count++] = is_self ? (const void *)node : peer;
+    job->request = ++node->request_number;
+    job->is_assigned = true;
+    job->order.waited_ms = (uint32_t)((now_ns - job->received_ns) / kNsPerMs);
+    job->order.left_ms = clock_left_ms(job->deadline_ns);
+    if (is_self) {
+        // May settle the job before it returns.
+        pool_take_order(node->pool, &job->order, 0, job->request, now_ns);
+        node_kick(node);
+    }
+    else {
+        peers_assign(peer, job, now_ns);
+    }
+    return true;
+}
+
+void
+home_take_job(caller_job_t *job)
+{
+    node_t *node = job->node;
+    node_now_ns(node);
+    link_job(node, job);
+    if (!assign(job)) {
+        settle(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
+               kNoOwnerRetryMs);
+    }
+}
+
+/// Takes a job back from its owner.
+static void
+withdraw(caller_job_t *job)
+{
+    node_t *node = job->node;
+    if (!job->is_assigned) {
+        return;
+    }
+    job->is_assigned = false;
+    if (job->peer == NULL) {
+        pool_withdraw(node->pool, 0, job->request, clock_now_ns());
+        node_kick(node);
+    }
+    else {
+        peers_withdraw(job->peer, job);
+    }
+}
+
+void
+home_abandon(caller_job_t *job)
+{
+    counter_add(kCounterCallersGone, 1);
+    withdraw(job);
+    settle(job, kOrderOutcomeLost, kErrorKindCancelled, 0);
+}
+
+static caller_job_t *
+find_job(node_t *node, uint64_t request, const peer_t *peer)
+{
+    caller_job_t *job = node->jobs;
+    while (job != NULL && (!job->is_assigned || job->request != request ||
+                           job->peer != peer)) {
+        job = job->next;
+    }
+    return job;
+}
+
+void
+home_take_settled(node_t *node, const pool_settled_t *settled,
+                  const peer_t *peer)
+{
+    caller_job_t *job = find_job(node, settled->request, peer);
+    if (job == NULL) {
+        return;
+    }
+    job->is_assigned = false;
+    if (settled->outcome == kOrderOutcomeRefused &&
+        settled->kind != kErrorKindDeadline && assign(job)) {
+        return;
+    }
+    settle(job, settled->outcome, settled->kind, settled->retry_after_ms);
+}
+
+void
+home_lose_peer(node_t *node, const peer_t *peer)
+{
+    caller_job_t *next;
+    for (caller_job_t *job = node->jobs; job != NULL; job = next) {
+        next = job->next;
+        if (job->is_assigned && job->peer == peer) {
+            job->is_assigned = false;
+            settle(job, kOrderOutcomeLost, kErrorKindHomeLost, 0);
+        }
+    }
+}
+
+void
+home_lose_all(node_t *node)
+{
+    caller_job_t *next;
+    for (caller_job_t *job = node->jobs; job != NULL; job = next) {
+        next = job->next;
+        withdraw(job);
+        settle(job, kOrderOutcomeLost, kErrorKindHomeLost, 0);
+    }
+}
+
+int64_t
+home_advance(node_t *node, int64_t now_ns)
+{
+    int64_t due_ns = INT64_MAX;
+    caller_job_t *next;
+    for (caller_job_t *job = node->jobs; job != NULL; job = next) {
+        next = job->next;
+        int64_t limit_ns =
+            job->deadline_ns + (int64_t)kAnswerGraceMs * kNsPerMs;
+        if (limit_ns <= now_ns) {
+            withdraw(job);
+            settle(job, kOrderOutcomeLost, kErrorKindDeadline, 0);
+        }
+        else if (limit_ns < due_ns) {
+            due_ns = limit_ns;
+        }
+    }
+    return due_ns;
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,265 @@
+#include "node/node.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "node/guests.h"
+#include "node/home.h"
+#include "node/owner.h"
+#include "node/peers.h"
+#include "shell/app.h"
+#include "shell/clock.h"
+#include "shell/log.h"
+
+enum {
+    kBeatMs = 100,      ///< between two looks at the clock
+    kListenMs = 2500,   ///< that a stopping node still takes requests: the
+                        ///< balancer misses two checks, one a second
+    kQuietMs = 300,     ///< without a request, after which it may end
+    kLastCallMs = 600,  ///< before the kill, by when it must end
+    kPauseMs = 600      ///< gap of the loop that counts as a pause
+};
+
+/// Gives up what others no longer count on after a pause of this process.
+static void
+take_pause(node_t *node, int64_t gap_ns, int64_t now_ns)
+{
+    log_event("paused", "gap_ms=%lld", (long long)(gap_ns / kNsPerMs));
+    home_lose_all(node);
+    pool_reset(node->pool, now_ns);
+    guests_close_all(node);
+    peers_close_all(node);
+}
+
+int64_t
+node_now_ns(node_t *node)
+{
+    int64_t now_ns = clock_now_ns();
+    int64_t gap_ns = now_ns - node->seen_ns;
+    bool was_paused =
+        node->seen_ns != 0 && gap_ns > (int64_t)kPauseMs * kNsPerMs;
+    node->seen_ns = now_ns;
+    if (was_paused) {
+        take_pause(node, gap_ns, now_ns);
+    }
+    return now_ns;
+}
+
+static int64_t
+earlier(int64_t left_ns, int64_t right_ns)
+{
+    return left_ns < right_ns ? left_ns : right_ns;
+}
+
+/// @return whether nothing is left to do before the process ends
+static bool
+is_stopped(node_t *node, int64_t now_ns)
+{
+    int64_t limit_ns =
+        node->stop_ns +
+        (int64_t)(node->settings->stop_limit_ms - kLastCallMs) * kNsPerMs;
+    bool is_quiet = now_ns - atomic_load(&node->last_job_ns) >
+                    (int64_t)kQuietMs * kNsPerMs;
+    pool_news_t news = pool_read_news(node->pool, now_ns);
+    bool is_idle = atomic_load(&node->job_count) == 0 &&
+                   news.order_count == 0 && news.run_count == 0;
+    return now_ns >= limit_ns ||
+           (is_idle && is_quiet &&
+            now_ns - node->stop_ns > (int64_t)kListenMs * kNsPerMs);
+}
+
+static void
+advance_stop(node_t *node, int64_t now_ns)
+{
+    pool_news_t news = pool_read_news(node->pool, now_ns);
+    if (news.order_count == 0 && news.run_count == 0) {
+        owner_leave_all(node);
+    }
+    if (is_stopped(node, now_ns) && node->on_stopped != NULL) {
+        void (*on_stopped)(void *) = node->on_stopped;
+        node->on_stopped = NULL;
+        on_stopped(node->stopped_owner);
+    }
+}
+
+static void
+advance(node_t *node)
+{
+    int64_t now_ns = node_now_ns(node);
+    int64_t due_ns = home_advance(node, now_ns);
+    due_ns = earlier(due_ns, guests_advance(node, now_ns));
+    due_ns = earlier(due_ns, pool_advance(node->pool, now_ns));
+    due_ns = earlier(due_ns, peers_advance(node, now_ns));
+    due_ns = earlier(due_ns, owner_advance(node, now_ns));
+    if (node->stop_ns != 0) {
+        advance_stop(node, now_ns);
+    }
+    if (due_ns == INT64_MAX) {
+        loop_timer_clear(node->loop, &node->timer);
+    }
+    else {
+        loop_timer_set(node->loop, &node->timer, due_ns);
+    }
+}
+
+static void
+on_advance(round_end_t *end)
+{
+    advance(caa_container_of(end, node_t, advance));
+}
+
+static void
+on_timer(loop_timer_t *timer)
+{
+    node_kick(timer->owner);
+}
+
+/// The node counts as ready while it has a configuration and knows an owner.
+static void
+update_ready(node_t *node)
+{
+    bool has_owner = owner_holds_any(node);
+    for (const member_t *member = node->members.first;
+         member != NULL && !has_owner; member = member->next) {
+        has_owner = member->is_reached && member->record->pools_count > 0;
+    }
+    bool is_ready = node->queues != NULL && has_owner && node->stop_ns == 0;
+    if (is_ready != atomic_load(&node->is_ready)) {
+        log_event("ready", "ready=%d", is_ready);
+        atomic_store(&node->is_ready, is_ready);
+    }
+}
+
+static void
+on_beat(loop_timer_t *timer)
+{
+    node_t *node = timer->owner;
+    node_now_ns(node);
+    update_ready(node);
+    if (node->stop_ns != 0) {
+        node_kick(node);
+    }
+    loop_timer_set(node->loop, timer, clock_deadline_ns(kBeatMs));
+}
+
+void
+node_kick(node_t *node)
+{
+    loop_at_round_end(node->loop, &node->advance);
+}
+
+node_t *
+node_create(const node_settings_t *settings, arena_t *arena)
+{
+    node_t *node = calloc(1, sizeof *node);
+    node->settings = settings;
+    node->arena = arena;
+    node->loop = loop_create();
+    node->control =
+        (control_t){.hello = {.role = kRoleNode, .nonce = app_random()},
+                    .describe = node_describe,
+                    .owner = node};
+    node->advance.run = on_advance;
+    snprintf(node->member, sizeof node->member, "%s.%016llx", settings->name,
+             (unsigned long long)node->control.hello.nonce);
+    loop_timer_init(&node->timer, on_timer, node);
+    loop_timer_init(&node->beat, on_beat, node);
+    owner_init(node);
+    return node;
+}
+
+bool
+node_open(node_t *node, const adapter_ops_t *ops, adapter_t *adapter,
+          error_info_t *err)
+{
+    node->adapter_ops = ops;
+    node->adapter = adapter;
+    node->listener =
+        listener_open(node->loop, node->settings->address,
+                      node->settings->peer_port, guests_accept, node, err);
+    if (node->listener == NULL) {
+        return false;
+    }
+    owner_publish(node);
+    loop_timer_set(node->loop, &node->beat, clock_deadline_ns(kBeatMs));
+    return true;
+}
+
+void
+node_stop(node_t *node)
+{
+    log_event("stopping", "jobs=%u", atomic_load(&node->job_count));
+    node->stop_ns = node_now_ns(node);
+    atomic_store(&node->is_draining, true);
+    atomic_store(&node->is_ready, false);
+    pool_close(node->pool);
+    owner_publish(node);
+    node_kick(node);
+}
+
+void
+node_take_queues(node_t *node, queue_table_t *table)
+{
+    queue_table_t *old = node->queues;
+    if (old != NULL && table->version <= old->version) {
+        queues_free(table);
+        return;
+    }
+    log_event("config_in_force", "version=%llu queues=%u before=%llu",
+              (unsigned long long)table->version, table->count,
+              old == NULL ? 0 : (unsigned long long)old->version);
+    rcu_assign_pointer(node->queues, table);
+    synchronize_rcu();
+    queues_free(old);
+    update_ready(node);
+}
+
+void
+node_take_member(node_t *node, const node_record_t *record)
+{
+    if (strcmp(record->name, node->settings->name) == 0) {
+        return;
+    }
+    members_put(&node->members, record);
+    peers_update(node);
+}
+
+void
+node_drop_member(node_t *node, const char *name)
+{
+    if (strcmp(name, node->settings->name) != 0) {
+        members_drop(&node->members, name);
+        peers_update(node);
+    }
+}
+
+static void
+add_line(void *owner, const char *line)
+{
+    json_object_array_add(owner, json_object_new_string(line));
+}
+
+void
+node_describe(void *owner, json_object *state)
+{
+    node_t *node = owner;
+    int64_t now_ns = clock_now_ns();
+    pool_news_t news = pool_read_news(node->pool, now_ns);
+    json_object *targets = json_object_new_array();
+    json_object_object_add(state, "name",
+                           json_object_new_string(node->settings->name));
+    json_object_object_add(
+        state, "config_version",
+        json_object_new_uint64(
+            node->queues == NULL ? 0 : node->queues->version));
+    json_object_object_add(
+        state, "jobs", json_object_new_uint64(atomic_load(&node->job_count)));
+    json_object_object_add(state, "orders",
+                           json_object_new_uint64(news.order_count));
+    json_object_object_add(state, "runs",
+                           json_object_new_uint64(news.run_count));
+    pool_describe(node->pool, now_ns, add_line, targets);
+    json_object_object_add(state, "targets", targets);
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,118 @@
+/// A node: the process of an entry VM on the users' platform. It is the home
+/// of the jobs that its callers hand in, and the owner of a part of the
+/// targets, on which it runs tasks for all homes. One loop thread holds all
+/// of this state; the threads that serve callers share with it the table of
+/// queues (RCU), flags (atomics) and jobs that are passed over by mail.
+#ifndef JT_NODE_NODE_H
+#define JT_NODE_NODE_H
+
+#include <apr_hash.h>
+#include <json-c/json.h>
+#include <stdatomic.h>
+
+#include "generated/settings.h"
+#include "net/listener.h"
+#include "node/adapter.h"
+#include "node/queues.h"
+#include "own/cells.h"
+#include "own/members.h"
+#include "pool/pool.h"
+#include "shell/control.h"
+
+enum { kMemberBytes = 320 };
+
+typedef struct node node_t;
+typedef struct peer peer_t;
+typedef struct caller_job caller_job_t;
+typedef struct guest guest_t;
+
+/// The pool of one data centre, as this node takes part in it.
+typedef struct {
+    const char *dc;
+    cells_t cells;
+    bool is_member;    ///< joined, or joining
+    bool is_join_open; ///< a call is on its way
+    int64_t join_due_ns;
+    uint32_t join_failures; ///< in a row
+    int64_t short_since_ns;
+    int64_t settled_since_ns;
+    uint32_t target_count; ///< known in the data centre
+} dc_pool_t;
+
+struct node {
+    const node_settings_t *settings;
+    arena_t *arena;
+    loop_t *loop;
+    const adapter_ops_t *adapter_ops;
+    adapter_t *adapter;
+    control_t control;
+    listener_t *listener;
+    char member[kMemberBytes]; ///< name in groups, new in each process
+    queue_table_t *queues;     ///< RCU; NULL before the first configuration
+    _Atomic bool is_ready;     ///< for the balancer
+    _Atomic bool is_draining;
+    _Atomic uint32_t job_count; ///< of callers, not settled
+    _Atomic int64_t last_job_ns;
+    pool_t *pool;
+    dc_pool_t *dcs;
+    uint32_t dc_count;
+    apr_hash_t *targets; ///< known_target_t by id
+    members_t members;
+    member_t *self;
+    peer_t *peers;
+    guest_t *guests;
+    uint64_t guest_number; ///< of the last connection accepted
+    caller_job_t *jobs;
+    uint64_t request_number; ///< of the last order sent
+    uint64_t self_backlog_ms;
+    loop_timer_t timer;
+    loop_timer_t beat;
+    round_end_t advance;
+    int64_t seen_ns; ///< last time that the loop is known to have run
+    int64_t stop_ns; ///< when the stop began; 0: not stopping
+    void (*on_stopped)(void *owner);
+    void *stopped_owner;
+};
+
+/// Creates a node and its loop; nothing runs yet.
+node_t *node_create(const node_settings_t *settings, arena_t *arena);
+
+/// Connects a node to its platform and starts to listen for other nodes.
+bool node_open(node_t *node, const adapter_ops_t *ops, adapter_t *adapter,
+               error_info_t *err);
+
+/// @return the time, after a check that the process was not paused. After a
+///         pause, what others rely on has run out, and is given up first.
+int64_t node_now_ns(node_t *node);
+
+/// Lets the node do what is due at the end of the loop's round.
+void node_kick(node_t *node);
+
+/// Begins a graceful stop. Own thread only; on_stopped is called at its end.
+void node_stop(node_t *node);
+
+/// News from the platform. Own thread only.
+void node_take_queues(node_t *node, queue_table_t *table);
+void node_take_target(node_t *node, const pool_target_info_t *info);
+void node_drop_target(node_t *node, const char *id);
+void node_take_member(node_t *node, const node_record_t *record);
+void node_drop_member(node_t *node, const char *name);
+
+/// How a join ended.
+typedef struct {
+    bool is_answered;
+    uint64_t generation;
+    const uint32_t *cells;
+    uint32_t cell_count;
+} joined_t;
+
+void node_take_joined(node_t *node, const char *dc, const joined_t *joined);
+void node_take_start(node_t *node, pool_run_t *run, const call_reply_t *reply);
+void node_take_stop(node_t *node, pool_run_t *run, const call_reply_t *reply);
+void node_take_list(node_t *node, pool_target_t *target,
+                    const list_reply_t *reply);
+
+/// Describes the node for a dump. Own thread only.
+void node_describe(void *owner, json_object *state);
+
+#endif
--- /dev/null
+++ b/src/node/owner.c
@@ -0,0 +1,385 @@
+#include "node/owner.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+#include "node/guests.h"
+#include "node/home.h"
+#include "shell/clock.h"
+#include "shell/log.h"
+
+enum {
+    kJoinMs = 350,           ///< between two joins; the least time to live is
+                             ///< about three times that
+    kJoinRetryMs = 150,      ///< after a join without an answer
+    kJoinRetryLimitMs = 1000 ///< where many had none
+};
+
+/// A target that the platform lists.
+typedef struct {
+    pool_target_info_t info;
+    dc_pool_t *pool;
+} known_target_t;
+
+static dc_pool_t *
+find_dc(node_t *node, const char *dc)
+{
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        if (strcmp(node->dcs[i].dc, dc) == 0) {
+            return &node->dcs[i];
+        }
+    }
+    return NULL;
+}
+
+/// Gives a target to the pool, or takes it away, as its cell is held or not.
+static void
+place_target(node_t *node, const known_target_t *known, int64_t now_ns)
+{
+    const cells_t *cells = &known->pool->cells;
+    uint64_t token = cells->tokens[cells_find(cells, known->info.id)];
+    if (token != 0) {
+        pool_put_target(node->pool, &known->info, token, now_ns);
+    }
+    else {
+        pool_drop_target(node->pool, known->info.id, now_ns);
+    }
+}
+
+static void
+place_targets(node_t *node, const dc_pool_t *pool, int64_t now_ns)
+{
+    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const known_target_t *known = apr_hash_this_val(at);
+        if (known->pool == pool) {
+            place_target(node, known, now_ns);
+        }
+    }
+}
+
+void
+node_take_target(node_t *node, const pool_target_info_t *info)
+{
+    dc_pool_t *pool = find_dc(node, info->dc);
+    if (pool == NULL) {
+        log_event("target_skipped", "id=%s reason=\"unknown data centre %s\"",
+                  info->id, info->dc);
+        return;
+    }
+    known_target_t *known =
+        apr_hash_get(node->targets, info->id, APR_HASH_KEY_STRING);
+    if (known == NULL) {
+        known = calloc(1, sizeof *known);
+        known->info = *info;
+        apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING,
+                     known);
+        pool->target_count++;
+    }
+    else if (known->info.is_draining != info->is_draining) {
+        log_event("target_state", "id=%s draining=%d", info->id,
+                  info->is_draining);
+    }
+    known->info = *info;
+    known->pool = pool;
+    place_target(node, known, node_now_ns(node));
+    node_kick(node);
+}
+
+void
+node_drop_target(node_t *node, const char *id)
+{
+    known_target_t *known =
+        apr_hash_get(node->targets, id, APR_HASH_KEY_STRING);
+    if (known == NULL) {
+        return;
+    }
+    log_event("target_gone", "id=%s", id);
+    known->pool->target_count--;
+    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, NULL);
+    pool_drop_target(node->pool, id, node_now_ns(node));
+    free(known);
+    node_kick(node);
+}
+
+void
+owner_publish(node_t *node)
+{
+    const node_settings_t *settings = node->settings;
+    const char *pools[64];
+    node_record_t record = {.name = settings->name,
+                            .dc = settings->dc,
+                            .address = settings->address,
+                            .port = settings->peer_port,
+                            .nonce = node->control.hello.nonce,
+                            .strength_milli = settings->core_share,
+                            .is_leaving = atomic_load(&node->is_draining),
+                            .pools = pools};
+    for (uint32_t i = 0; i < node->dc_count && i < 64; i++) {
+        if (cells_held(&node->dcs[i].cells) > 0) {
+            pools[record.pools_count++] = node->dcs[i].dc;
+        }
+    }
+    node->self = members_put(&node->members, &record);
+    node->self->is_self = true;
+    node->adapter_ops->publish(node->adapter, &record);
+}
+
+bool
+owner_holds_any(const node_t *node)
+{
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        if (cells_held(&node->dcs[i].cells) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+node_take_joined(node_t *node, const char *dc, const joined_t *joined)
+{
+    int64_t now_ns = node_now_ns(node);
+    dc_pool_t *pool = find_dc(node, dc);
+    pool->is_join_open = false;
+    if (!joined->is_answered) {
+        pool->join_failures++;
+        int64_t wait_ms = (int64_t)kJoinRetryMs * pool->join_failures;
+        pool->join_due_ns =
+            now_ns + (int64_t)kNsPerMs * (wait_ms < kJoinRetryLimitMs
+                                              ? wait_ms
+                                              : kJoinRetryLimitMs);
+        node_kick(node);
+        return;
+    }
+    pool->join_failures = 0;
+    bool has_risen = joined->generation > pool->cells.generation;
+    pool->join_due_ns =
+        has_risen ? now_ns : now_ns + (int64_t)kJoinMs * kNsPerMs;
+    if (!pool->is_member) {
+        return;
+    }
+    uint32_t held_before = cells_held(&pool->cells);
+    if (cells_take(&pool->cells, joined->generation, joined->cells,
+                   joined->cell_count)) {
+        uint32_t held = cells_held(&pool->cells);
+        log_event("cells_changed", "dc=%s generation=%llu held=%u before=%u",
+                  dc, (unsigned long long)joined->generation, held,
+                  held_before);
+        place_targets(node, pool, now_ns);
+        if ((held == 0) != (held_before == 0)) {
+            owner_publish(node);
+        }
+    }
+    node_kick(node);
+}
+
+static candidate_t
+describe_candidate(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    uint32_t own_count = members_count_in(&node->members, pool->dc);
+    uint32_t per_owner = node->settings->targets_per_owner;
+    uint32_t wanted = (pool->target_count + per_owner / 2) / per_owner;
+    wanted = wanted < 1 ? 1 : wanted;
+    wanted = wanted > own_count && own_count > 0 ? own_count : wanted;
+    candidate_t candidate = {
+        .rank = members_rank(&node->members, node->self, pool->dc),
+        .own_count = own_count,
+        .wanted_count = wanted,
+        .owner_count = members_count_owners(&node->members, pool->dc),
+        .is_own_dc = strcmp(pool->dc, node->settings->dc) == 0,
+        .is_owner = pool->is_member};
+    // From elsewhere, one owner in reach is enough.
+    bool is_enough =
+        candidate.owner_count >= (candidate.is_own_dc ? wanted : 1);
+    if (is_enough) {
+        pool->short_since_ns = 0;
+        pool->settled_since_ns =
+            pool->settled_since_ns == 0 ? now_ns : pool->settled_since_ns;
+    }
+    else {
+        pool->settled_since_ns = 0;
+        pool->short_since_ns =
+            pool->short_since_ns == 0 ? now_ns : pool->short_since_ns;
+    }
+    candidate.short_since_ns = pool->short_since_ns;
+    candidate.settled_since_ns = pool->settled_since_ns;
+    return candidate;
+}
+
+static void
+leave(node_t *node, dc_pool_t *pool, const char *reason)
+{
+    log_event("pool_left", "dc=%s reason=\"%s\"", pool->dc, reason);
+    pool->is_member = false;
+    bool had_cells = cells_held(&pool->cells) > 0;
+    cells_drop(&pool->cells);
+    place_targets(node, pool, node_now_ns(node));
+    node->adapter_ops->leave(node->adapter, pool->dc, node->member);
+    if (had_cells) {
+        owner_publish(node);
+    }
+}
+
+/// Joins or leaves a pool as its other owners come and go.
+static int64_t
+decide_membership(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    if (atomic_load(&node->is_draining) || pool->target_count == 0) {
+        return INT64_MAX;
+    }
+    candidate_t candidate = describe_candidate(node, pool, now_ns);
+    int64_t join_ns = candidate_join_ns(&candidate, now_ns);
+    if (join_ns <= now_ns) {
+        log_event("pool_joined", "dc=%s rank=%u wanted=%u owners=%u", pool->dc,
+                  candidate.rank, candidate.wanted_count,
+                  candidate.owner_count);
+        pool->is_member = true;
+        pool->join_due_ns = now_ns;
+        return now_ns;
+    }
+    int64_t leave_ns = candidate_leave_ns(&candidate);
+    if (leave_ns <= now_ns &&
+        pool_read_news(node->pool, now_ns).order_count == 0) {
+        leave(node, pool, "enough owners");
+        return INT64_MAX;
+    }
+    return join_ns;
+}
+
+int64_t
+owner_advance(node_t *node, int64_t now_ns)
+{
+    int64_t due_ns = INT64_MAX;
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        dc_pool_t *pool = &node->dcs[i];
+        int64_t decide_ns = decide_membership(node, pool, now_ns);
+        due_ns = decide_ns < due_ns ? decide_ns : due_ns;
+        if (!pool->is_member || pool->is_join_open) {
+            continue;
+        }
+        if (pool->join_due_ns <= now_ns) {
+            pool->is_join_open = true;
+            node->adapter_ops->join(node->adapter, pool->dc, node->member,
+                                    pool->cells.generation);
+        }
+        else if (pool->join_due_ns < due_ns) {
+            due_ns = pool->join_due_ns;
+        }
+    }
+    return due_ns;
+}
+
+void
+owner_leave_all(node_t *node)
+{
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        if (node->dcs[i].is_member) {
+            leave(node, &node->dcs[i], "stopping");
+        }
+    }
+}
+
+static void
+send_start(void *owner, const start_call_t *call)
+{
+    node_t *node = owner;
+    node->adapter_ops->start(node->adapter, call);
+}
+
+static void
+send_stop(void *owner, const stop_call_t *call)
+{
+    node_t *node = owner;
+    node->adapter_ops->stop(node->adapter, call);
+}
+
+static void
+send_list(void *owner, const list_call_t *call)
+{
+    node_t *node = owner;
+    node->adapter_ops->list(node->adapter, call);
+}
+
+static void
+settle(void *owner, const pool_settled_t *settled)
+{
+    node_t *node = owner;
+    if (settled->client == 0) {
+        home_take_settled(node, settled, NULL);
+    }
+    else {
+        guests_settle(node, settled);
+    }
+}
+
+/// A target knows a higher token. Where the store still lists its cell as
+/// ours, the newest generation is the token from now on.
+static void
+take_fenced(void *owner, const pool_target_info_t *info)
+{
+    node_t *node = owner;
+    dc_pool_t *pool = find_dc(node, info->dc);
+    log_event("target_fenced", "id=%s token=%llu", info->id,
+              (unsigned long long)pool_target_token(node->pool, info->id));
+    if (cells_raise(&pool->cells, cells_find(&pool->cells, info->id))) {
+        place_targets(node, pool, node_now_ns(node));
+    }
+    pool->join_due_ns = 0;
+    node_kick(node);
+}
+
+static void
+note(void *owner, const char *event, const char *job, const char *text)
+{
+    (void)owner;
+    log_event(event, "job=%s what=%s", job, text);
+}
+
+static const pool_ops_t pool_ops = {.start = send_start,
+                                    .stop = send_stop,
+                                    .list = send_list,
+                                    .settle = settle,
+                                    .fenced = take_fenced,
+                                    .note = note};
+
+void
+owner_init(node_t *node)
+{
+    const node_settings_t *settings = node->settings;
+    const pool_limits_t limits = {.lease_ms = settings->hold_limit_ms,
+                                  .stop_grace_ms = settings->stop_grace_ms,
+                                  .remote_permille = settings->remote_factor};
+    node->pool = pool_create(&limits, &pool_ops, node);
+    node->targets = apr_hash_make(node->arena);
+    node->dc_count = settings->dcs_count;
+    node->dcs =
+        apr_pcalloc(node->arena, node->dc_count * sizeof *node->dcs);
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        node->dcs[i].dc = settings->dcs[i];
+        cells_init(&node->dcs[i].cells, settings->cell_count);
+    }
+}
+
+void
+node_take_start(node_t *node, pool_run_t *run, const call_reply_t *reply)
+{
+    pool_take_start(node->pool, run, reply, node_now_ns(node));
+    node_kick(node);
+}
+
+void
+node_take_stop(node_t *node, pool_run_t *run, const call_reply_t *reply)
+{
+    if (run != NULL) {
+        pool_take_stop(node->pool, run, reply, node_now_ns(node));
+        node_kick(node);
+    }
+}
+
+void
+node_take_list(node_t *node, pool_target_t *target, const list_reply_t *reply)
+{
+    pool_take_list(node->pool, target, reply, node_now_ns(node));
+    node_kick(node);
+}
--- /dev/null
+++ b/src/node/owner.h
@@ -0,0 +1,24 @@
+/// The node as owner: its part in the pools of data centres.
+#ifndef JT_NODE_OWNER_H
+#define JT_NODE_OWNER_H
+
+#include "node/node.h"
+
+/// Creates the pool and the tables of the data centres.
+void owner_init(node_t *node);
+
+/// Joins, stays in, or leaves pools as is due.
+///
+/// @return when to call it again
+int64_t owner_advance(node_t *node, int64_t now_ns);
+
+/// @return whether this node owns targets
+bool owner_holds_any(const node_t *node);
+
+/// Publishes the node's record where it changed.
+void owner_publish(node_t *node);
+
+/// Leaves all pools.
+void owner_leave_all(node_t *node);
+
+#endif
--- /dev/null
+++ b/src/own/cells.c
@@ -0,0 +1,85 @@
+#include "own/cells.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+cells_init(cells_t *cells, uint32_t count)
+{
+    *cells = (cells_t){.tokens = calloc(count, sizeof *cells->tokens),
+                       .count = count};
+}
+
+void
+cells_clear(cells_t *cells)
+{
+    free(cells->tokens);
+    *cells = (cells_t){0};
+}
+
+static bool
+is_among(const uint32_t *held, uint32_t held_count, uint32_t cell)
+{
+    for (uint32_t i = 0; i < held_count; i++) {
+        if (held[i] == cell) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+cells_take(cells_t *cells, uint64_t generation, const uint32_t *held,
+           uint32_t held_count)
+{
+    bool has_changed = false;
+    if (generation < cells->generation) {
+        return false;
+    }
+    cells->generation = generation;
+    for (uint32_t i = 0; i < cells->count; i++) {
+        bool is_held = is_among(held, held_count, i);
+        if (is_held != (cells->tokens[i] != 0)) {
+            cells->tokens[i] = is_held ? generation : 0;
+            has_changed = true;
+        }
+    }
+    return has_changed;
+}
+
+bool
+cells_raise(cells_t *cells, uint32_t cell)
+{
+    if (cells->tokens[cell] == 0 ||
+        cells->tokens[cell] >= cells->generation) {
+        return false;
+    }
+    cells->tokens[cell] = cells->generation;
+    return true;
+}
+
+void
+cells_drop(cells_t *cells)
+{
+    memset(cells->tokens, 0, cells->count * sizeof *cells->tokens);
+}
+
+uint32_t
+cells_find(const cells_t *cells, const char *target_id)
+{
+    uint64_t hash = UINT64_C(0xcbf29ce484222325); // FNV-1a
+    for (const char *at = target_id; *at != '\0'; at++) {
+        hash = (hash ^ (uint8_t)*at) * UINT64_C(0x100000001b3);
+    }
+    return (uint32_t)((hash >> 16) % cells->count);
+}
+
+uint32_t
+cells_held(const cells_t *cells)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < cells->count; i++) {
+        count += cells->tokens[i] != 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/src/pool/pool.c
@@ -0,0 +1,242 @@
+#include "pool/pool.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool/state.h"
+
+enum { kLineBytes = 320, kUsualPermille = 1000 };
+
+const char *const reply_kind_names[] = {
+    [kReplyDone] = "done",           [kReplyNotSent] = "not_sent",
+    [kReplyUnanswered] = "unanswered", [kReplyFenced] = "fenced",
+    [kReplyNoRoom] = "no_room",      [kReplyStale] = "stale",
+    [kReplyLate] = "late",           [kReplyOtherLife] = "other_life",
+    [kReplyUnhealthy] = "unhealthy", [kReplyInvalid] = "invalid",
+};
+
+pool_t *
+pool_create(const pool_limits_t *limits, const pool_ops_t *ops, void *owner)
+{
+    pool_t *pool = calloc(1, sizeof *pool);
+    arena_t *arena = arena_create();
+    *pool = (pool_t){.limits = *limits,
+                     .ops = ops,
+                     .owner = owner,
+                     .arena = arena,
+                     .targets = apr_hash_make(arena),
+                     .bias_permille = kUsualPermille};
+    return pool;
+}
+
+void
+pool_destroy(pool_t *pool)
+{
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        pool_target_t *target = apr_hash_this_val(at);
+        while (target->runs != NULL) {
+            pool_run_t *run = target->runs;
+            target->runs = run->next;
+            free(run);
+        }
+        free(target);
+    }
+    while (pool->first != NULL) {
+        pool_order_t *order = pool->first;
+        pool->first = order->next;
+        arena_destroy(order->arena);
+    }
+    arena_destroy(pool->arena);
+    free(pool);
+}
+
+static pool_target_t *
+find_target(const pool_t *pool, const char *id)
+{
+    return apr_hash_get(pool->targets, id, APR_HASH_KEY_STRING);
+}
+
+uint64_t
+pool_target_token(const pool_t *pool, const char *id)
+{
+    const pool_target_t *target = find_target(pool, id);
+    return target == NULL ? 0 : target->token;
+}
+
+static void
+add_target(pool_t *pool, const pool_target_info_t *info, uint64_t token,
+           int64_t now_ns)
+{
+    pool_target_t *target = calloc(1, sizeof *target);
+    *target = (pool_target_t){.info = *info,
+                              .token = token,
+                              .clock_ns = now_ns,
+                              .list_due_ns = now_ns,
+                              .slowness_permille = kUsualPermille};
+    apr_hash_set(pool->targets, target->info.id, APR_HASH_KEY_STRING, target);
+}
+
+/// Starts the session over under a new token.
+static void
+renew_session(pool_target_t *target, uint64_t token, int64_t now_ns)
+{
+    target->token = token;
+    target->is_fenced = false;
+    target->session = kSessionNew;
+    target->list_due_ns = now_ns;
+}
+
+void
+pool_put_target(pool_t *pool, const pool_target_info_t *info, uint64_t token,
+                int64_t now_ns)
+{
+    pool_target_t *target = find_target(pool, info->id);
+    if (target == NULL) {
+        add_target(pool, info, token, now_ns);
+        return;
+    }
+    uint64_t born_ms = target->info.born_ms;
+    bool is_new_life = info->born_ms > born_ms && born_ms != 0;
+    target->info = *info;
+    // The lists say for certain which life answers.
+    target->info.born_ms = born_ms;
+    if (token > target->token) {
+        renew_session(target, token, now_ns);
+    }
+    else if (is_new_life && !target->is_list_open) {
+        target->list_due_ns = now_ns;
+    }
+    pool->is_dirty = true;
+}
+
+void
+pool_drop_target(pool_t *pool, const char *id, int64_t now_ns)
+{
+    pool_target_t *target = find_target(pool, id);
+    if (target == NULL) {
+        return;
+    }
+    apr_hash_set(pool->targets, target->info.id, APR_HASH_KEY_STRING, NULL);
+    target->is_dropped = true;
+    target->open_calls++; // keeps the target for the loop below
+    pool_run_t *next;
+    for (pool_run_t *run = target->runs; run != NULL; run = next) {
+        next = run->next;
+        run_lose(pool, run, now_ns);
+        run->is_over = true;
+        run_free_over(pool, run);
+    }
+    target->open_calls--;
+    session_release(pool, target);
+}
+
+void
+pool_close(pool_t *pool)
+{
+    pool->is_closed = true;
+}
+
+static int64_t
+earlier(int64_t left_ns, int64_t right_ns)
+{
+    return left_ns < right_ns ? left_ns : right_ns;
+}
+
+static int64_t
+advance_orders(pool_t *pool, int64_t now_ns)
+{
+    int64_t due_ns = INT64_MAX;
+    pool_order_t *next;
+    for (pool_order_t *order = pool->first; order != NULL; order = next) {
+        next = order->next;
+        due_ns = earlier(due_ns, order_advance(pool, order, now_ns));
+    }
+    return due_ns;
+}
+
+static int64_t
+advance_targets(pool_t *pool, int64_t now_ns)
+{
+    int64_t due_ns = INT64_MAX;
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        due_ns = earlier(
+            due_ns, session_advance(pool, apr_hash_this_val(at), now_ns));
+    }
+    return due_ns;
+}
+
+/// @return when waiting tasks are to be looked at again
+static int64_t
+next_placement_ns(const pool_t *pool, int64_t now_ns)
+{
+    enum { kLookAgainMs = 50 };
+    for (const pool_order_t *order = pool->first; order != NULL;
+         order = order->next) {
+        if (order->waiting_count > 0) {
+            return now_ns + MS_TO_NS(kLookAgainMs);
+        }
+    }
+    return INT64_MAX;
+}
+
+int64_t
+pool_advance(pool_t *pool, int64_t now_ns)
+{
+    int64_t due_ns = advance_orders(pool, now_ns);
+    advance_targets(pool, now_ns);
+    place_all(pool, now_ns);
+    pool->is_dirty = false;
+    due_ns = earlier(due_ns, advance_targets(pool, now_ns));
+    return earlier(due_ns, next_placement_ns(pool, now_ns));
+}
+
+pool_news_t
+pool_read_news(const pool_t *pool, int64_t now_ns)
+{
+    pool_news_t news = {.order_count = pool->order_count,
+                        .run_count = pool->run_count,
+                        .backlog_ms = place_backlog_ms(pool, UINT32_MAX)};
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const pool_target_t *target = apr_hash_this_val(at);
+        if (!session_is_open(target, now_ns)) {
+            continue;
+        }
+        news.target_count++;
+        uint64_t used_mcores = 0;
+        for (const pool_run_t *run = target->runs; run != NULL;
+             run = run->next) {
+            used_mcores += run->cpu_mcores;
+        }
+        if (used_mcores < target->info.cpu_mcores) {
+            news.free_mcores += target->info.cpu_mcores - used_mcores;
+        }
+    }
+    return news;
+}
+
+static const char *const session_names[] = {
+    [kSessionNew] = "new", [kSessionReady] = "ready", [kSessionMute] = "mute"};
+
+void
+pool_describe(const pool_t *pool, int64_t now_ns,
+              void (*visit)(void *owner, const char *line), void *owner)
+{
+    char line[kLineBytes];
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const pool_target_t *target = apr_hash_this_val(at);
+        snprintf(line, sizeof line,
+                 "id=%s address=%s session=%s token=%llu runs=%u "
+                 "slowness_permille=%u ejected=%d draining=%d fenced=%d",
+                 target->info.id, target->info.address,
+                 session_names[target->session],
+                 (unsigned long long)target->token, target->run_count,
+                 target->slowness_permille, target->eject_until_ns > now_ns,
+                 target->info.is_draining, target->is_fenced);
+        visit(owner, line);
+    }
+}
--- /dev/null
+++ b/src/pool/runs.c
@@ -0,0 +1,335 @@
+/// Runs: what occupies room on a target, from the call that starts it until
+/// it is certain that it is over.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counters.h"
+#include "pool/state.h"
+
+enum {
+    kStartWaitMs = 400,  ///< for the answer to a start; usually 1 to 3 ms
+    kStopWaitMs = 400,   ///< for the answer to a stop
+    kStopRepeatMs = 500, ///< between two stops of one run
+    kFirstRun = 1
+};
+
+static void
+link_run(pool_t *pool, pool_run_t *run)
+{
+    pool_target_t *target = run->target;
+    run->next = target->runs;
+    if (target->runs != NULL) {
+        target->runs->prev = run;
+    }
+    target->runs = run;
+    target->run_count++;
+    pool->run_count++;
+}
+
+static void
+unlink_run(pool_t *pool, pool_run_t *run)
+{
+    pool_target_t *target = run->target;
+    if (run->prev != NULL) {
+        run->prev->next = run->next;
+    }
+    else {
+        target->runs = run->next;
+    }
+    if (run->next != NULL) {
+        run->next->prev = run->prev;
+    }
+    target->run_count--;
+    pool->run_count--;
+}
+
+pool_run_t *
+run_create(pool_t *pool, pool_target_t *target, pool_task_t *task,
+           int64_t now_ns)
+{
+    const order_t *order = task->order->order;
+    const order_step_t *step = &order->steps[task->step];
+    pool_run_t *run = calloc(1, sizeof *run);
+    *run = (pool_run_t){.target = target,
+                        .task = task,
+                        .name = {.step = task->step,
+                                 .index = task->index,
+                                 .number = task->run_number + kFirstRun},
+                        .state = kRunStarting,
+                        .cpu_mcores = step->cpu_mcores,
+                        .memory_mb = step->memory_mb,
+                        .accelerators = step->accelerators,
+                        .estimate_ms = step->estimate_ms,
+                        .started_ns = now_ns,
+                        .is_start_open = true};
+    strncpy(run->name.job, order->job, sizeof run->name.job - 1);
+    run->lease_until_ms =
+        session_lease_until_ms(target, &pool->limits, now_ns);
+    task->run_number++;
+    task->run = run;
+    task->state = kTaskPlaced;
+    task->order->waiting_count--;
+    task->order->is_started = true;
+    link_run(pool, run);
+    session_note_lease(target, &pool->limits, now_ns);
+    start_call_t call = {.target = &target->info,
+                         .name = run->name,
+                         .payload = order->payload,
+                         .lease_until_ms = run->lease_until_ms,
+                         .token = target->token,
+                         .deadline_ns = now_ns + MS_TO_NS(kStartWaitMs),
+                         .run = run};
+    target->open_calls++;
+    pool->ops->start(pool->owner, &call);
+    return run;
+}
+
+void
+run_free_over(pool_t *pool, pool_run_t *run)
+{
+    if (!run->is_over || run->is_start_open || run->is_stop_open) {
+        return;
+    }
+    pool_target_t *target = run->target;
+    unlink_run(pool, run);
+    free(run);
+    session_release(pool, target);
+}
+
+/// Takes a run off its target and gives its task back, if it has one.
+static pool_task_t *
+finish(pool_t *pool, pool_run_t *run)
+{
+    pool_task_t *task = run->task;
+    run->task = NULL;
+    run->is_over = true;
+    run->cpu_mcores = 0;
+    run->memory_mb = 0;
+    run->accelerators = 0;
+    pool->is_dirty = true;
+    if (task != NULL) {
+        task->run = NULL;
+    }
+    return task;
+}
+
+void
+run_end(pool_t *pool, pool_run_t *run, run_end_t how, int64_t now_ns)
+{
+    if (run->is_over) {
+        return;
+    }
+    pool_target_t *target = run->target;
+    if (how == kRunEndDone) {
+        counter_add(kCounterRunsDone, 1);
+        session_learn(pool, target, run, now_ns);
+    }
+    else if (how == kRunEndFailed) {
+        counter_add(kCounterRunsFailed, 1);
+        session_note_failure(target, run, now_ns);
+    }
+    else {
+        counter_add(kCounterRunsStopped, 1);
+    }
+    pool_task_t *task = finish(pool, run);
+    if (task == NULL) {
+        return;
+    }
+    if (how == kRunEndDone) {
+        order_task_done(pool, task, now_ns);
+        return;
+    }
+    memcpy(task->avoid, target->info.id, sizeof task->avoid);
+    if (how == kRunEndFailed) {
+        order_task_failed(pool, task, now_ns);
+        return;
+    }
+    order_task_again(pool, task);
+}
+
+void
+run_lose(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    if (run->is_over) {
+        return;
+    }
+    pool_task_t *task = finish(pool, run);
+    if (task != NULL) {
+        order_settle(pool, task->order, kOrderOutcomeLost,
+                     kErrorKindTargetLost, 0, now_ns);
+    }
+}
+
+static void
+send_stop(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    stop_call_t call = {.target = &run->target->info,
+                        .name = run->name,
+                        .token = run->target->token,
+                        .deadline_ns = now_ns + MS_TO_NS(kStopWaitMs),
+                        .run = run};
+    run->is_stop_open = true;
+    run->target->open_calls++;
+    run->stop_due_ns = now_ns + MS_TO_NS(kStopRepeatMs);
+    pool->ops->stop(pool->owner, &call);
+}
+
+void
+run_stop(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    if (run->is_over || run->stop_due_ns != 0) {
+        return;
+    }
+    run->stop_due_ns = now_ns;
+    run_advance(pool, run, now_ns);
+}
+
+/// Sends a stop that is due. A run whose start is open is stopped when the
+/// answer comes, so that the stop cannot overtake the start.
+int64_t
+run_advance(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    if (run->is_over || run->stop_due_ns == 0 || run->is_stop_open ||
+        run->is_start_open) {
+        return INT64_MAX;
+    }
+    if (run->stop_due_ns <= now_ns && !run->target->is_dropped) {
+        send_stop(pool, run, now_ns);
+        return INT64_MAX;
+    }
+    return run->stop_due_ns;
+}
+
+/// Takes a run back that its target rejected: it never ran.
+static void
+reject(pool_t *pool, pool_run_t *run, bool avoids)
+{
+    counter_add(kCounterRunsRejected, 1);
+    pool_target_t *target = run->target;
+    pool_task_t *task = finish(pool, run);
+    if (task != NULL) {
+        if (avoids) {
+            memcpy(task->avoid, target->info.id, sizeof task->avoid);
+        }
+        order_task_again(pool, task);
+    }
+}
+
+static void
+note_reply(pool_t *pool, const pool_run_t *run, const call_reply_t *reply)
+{
+    if (reply->kind != kReplyDone) {
+        pool->ops->note(pool->owner, "start_rejected", run->name.job,
+                        reply_kind_names[reply->kind]);
+    }
+}
+
+static void
+take_done(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    (void)pool;
+    counter_add(kCounterRunsStarted, 1);
+    run->state = kRunActive;
+    run->started_ns = now_ns;
+    run->target->mute_count = 0;
+    run->target->list_due_ns = now_ns;
+}
+
+static void
+take_not_sent(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    session_go_mute(pool, run->target, now_ns);
+    reject(pool, run, true);
+}
+
+static void
+take_unanswered(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    counter_add(kCounterRunsUnanswered, 1);
+    run->state = kRunUnsure;
+    session_go_mute(pool, run->target, now_ns);
+    run_stop(pool, run, now_ns);
+}
+
+static void
+take_fenced(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    (void)now_ns;
+    pool_target_t *target = run->target;
+    counter_add(kCounterTokensFenced, 1);
+    target->is_fenced = true;
+    reject(pool, run, true);
+    pool->ops->fenced(pool->owner, &target->info);
+}
+
+static void
+take_refusal(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    session_note_failure(run->target, run, now_ns);
+    reject(pool, run, true);
+}
+
+/// A run of that number was there: an earlier submission of the job.
+static void
+take_stale(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    (void)now_ns;
+    reject(pool, run, false);
+}
+
+static void
+take_other_life(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    session_go_mute(pool, run->target, now_ns);
+    reject(pool, run, true);
+}
+
+typedef void (*take_start_t)(pool_t *pool, pool_run_t *run, int64_t now_ns);
+
+static const take_start_t take_table[] = {
+    [kReplyDone] = take_done,
+    [kReplyNotSent] = take_not_sent,
+    [kReplyUnanswered] = take_unanswered,
+    [kReplyFenced] = take_fenced,
+    [kReplyNoRoom] = take_refusal,
+    [kReplyStale] = take_stale,
+    [kReplyLate] = take_other_life,
+    [kReplyOtherLife] = take_other_life,
+    [kReplyUnhealthy] = take_refusal,
+    [kReplyInvalid] = take_refusal,
+};
+
+void
+pool_take_start(pool_t *pool, pool_run_t *run, const call_reply_t *reply,
+                int64_t now_ns)
+{
+    run->is_start_open = false;
+    run->target->open_calls--;
+    if (!run->is_over) {
+        note_reply(pool, run, reply);
+        take_table[reply->kind](pool, run, now_ns);
+    }
+    run_advance(pool, run, now_ns);
+    run_free_over(pool, run);
+}
+
+void
+pool_take_stop(pool_t *pool, pool_run_t *run, const call_reply_t *reply,
+               int64_t now_ns)
+{
+    run->is_stop_open = false;
+    run->target->open_calls--;
+    bool is_certain =
+        reply->kind == kReplyDone || reply->kind == kReplyOtherLife;
+    if (is_certain && run->state == kRunUnsure && !run->is_over) {
+        // A start that is still on its way is rejected from now on; a run
+        // that was there is ended and will be listed so.
+        run->stop_due_ns = 0;
+        run->state = kRunActive;
+        run->target->list_due_ns = now_ns;
+    }
+    else if (is_certain) {
+        run->target->list_due_ns = now_ns;
+    }
+    run_free_over(pool, run);
+}
--- /dev/null
+++ b/src/pool/sessions.c
@@ -0,0 +1,407 @@
+/// The session with one target: its clock, its lease, the lists of its runs,
+/// and how far it is trusted.
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counters.h"
+#include "pool/state.h"
+
+enum {
+    kWaitSharePercent = 50,   ///< of the lease that a list may wait for an end
+    kListSlackMs = 350,       ///< for the answer, beyond the wait
+    kLastAckMs = 60,          ///< from the last end to the list that notes it
+    kMuteRepeatMs = 300,      ///< between two looks at a mute target
+    kMuteRepeatLimitMs = 2000,
+    kClockDriftPercent = 3,   ///< clocks of targets may be 2% off
+    kLapseSlackMs = 20,       ///< for the start of what came just in time
+    kLearnWeightPercent = 25, ///< of a new sample
+    kLearnFirstSamples = 4,   ///< that weigh more
+    kSlownessLimitPermille = 20000,
+    kEjectFailures = 2, ///< failed orders in a row
+    kEjectMs = 1500,
+    kEjectLimitMs = 12000,
+    kDefaultSlowness = 1000
+};
+
+uint64_t
+session_lease_until_ms(const pool_target_t *target,
+                      const pool_limits_t *limits, int64_t now_ns)
+{
+    int64_t since_ns = now_ns - target->clock_ns;
+    return target->clock_ms + (uint64_t)(since_ns / MS_TO_NS(1)) +
+           limits->lease_ms;
+}
+
+void
+session_note_lease(pool_target_t *target, const pool_limits_t *limits,
+                  int64_t now_ns)
+{
+    int64_t error_ns = target->clock_error_ns + MS_TO_NS(kLapseSlackMs) +
+                       (now_ns - target->clock_ns) * kClockDriftPercent / 100;
+    int64_t lapse_ns =
+        now_ns + error_ns +
+        MS_TO_NS(limits->lease_ms) * (100 + kClockDriftPercent) / 100;
+    if (lapse_ns > target->lapse_ns) {
+        target->lapse_ns = lapse_ns;
+    }
+}
+
+bool
+session_is_open(const pool_target_t *target, int64_t now_ns)
+{
+    return target->session == kSessionReady && !target->is_dropped &&
+           !target->is_fenced && !target->info.is_draining &&
+           target->eject_until_ns <= now_ns;
+}
+
+void
+session_release(pool_t *pool, pool_target_t *target)
+{
+    (void)pool;
+    if (target->is_dropped && target->open_calls == 0 &&
+        target->run_count == 0) {
+        free(target);
+    }
+}
+
+/// Takes the reading of a target's clock from an answer.
+static void
+take_clock(pool_target_t *target, uint64_t clock_ms, int64_t sent_ns,
+           int64_t wait_ns, int64_t now_ns)
+{
+    int64_t trip_ns = now_ns - sent_ns - wait_ns;
+    target->clock_ms = clock_ms;
+    target->clock_ns = now_ns;
+    target->clock_error_ns = trip_ns > 0 ? trip_ns : 0;
+}
+
+void
+session_go_mute(pool_t *pool, pool_target_t *target, int64_t now_ns)
+{
+    if (target->session != kSessionMute) {
+        counter_add(kCounterTargetsSuspected, 1);
+        pool->ops->note(pool->owner, "target_mute", "", target->info.id);
+    }
+    target->session = kSessionMute;
+    target->mute_count++;
+    if (!target->is_list_open) {
+        target->list_due_ns = now_ns;
+    }
+}
+
+void
+session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
+             int64_t now_ns)
+{
+    target->fail_count = 0;
+    target->eject_count = 0;
+    if (run->estimate_ms == 0 || run->state != kRunActive) {
+        return;
+    }
+    int64_t took_us = (now_ns - run->started_ns) / 1000;
+    int64_t ratio = took_us / run->estimate_ms;
+    if (ratio > kSlownessLimitPermille) {
+        ratio = kSlownessLimitPermille;
+    }
+    int64_t bias = pool->bias_permille;
+    int64_t slowness = ratio * 1000 / (bias > 0 ? bias : 1000);
+    target->sample_count++;
+    int64_t weight = target->sample_count < kLearnFirstSamples
+                         ? 100 / (target->sample_count + 1)
+                         : kLearnWeightPercent;
+    int64_t old = target->slowness_permille;
+    target->slowness_permille =
+        (uint32_t)(old + (slowness - old) * weight / 100);
+    int64_t expected = old > 0 ? ratio * 1000 / old : ratio;
+    pool->bias_permille =
+        (uint32_t)(bias + (expected - bias) * 2 / 100); // a slow mean
+}
+
+void
+session_note_failure(pool_target_t *target, const pool_run_t *run,
+                    int64_t now_ns)
+{
+    if (strcmp(target->fail_job, run->name.job) == 0) {
+        return;
+    }
+    memcpy(target->fail_job, run->name.job, sizeof target->fail_job);
+    target->fail_count++;
+    if (target->fail_count < kEjectFailures) {
+        return;
+    }
+    int64_t eject_ms = (int64_t)kEjectMs << target->eject_count;
+    if (eject_ms > kEjectLimitMs) {
+        eject_ms = kEjectLimitMs;
+    }
+    else {
+        target->eject_count++;
+    }
+    counter_add(kCounterTargetsEjected, 1);
+    target->eject_until_ns = now_ns + MS_TO_NS(eject_ms);
+    // One more failure after the pause ejects it again.
+    target->fail_count = kEjectFailures - 1;
+}
+
+static void
+send_list(pool_t *pool, pool_target_t *target, int64_t now_ns)
+{
+    bool renews = target->run_count > 0 && target->session == kSessionReady;
+    uint32_t wait_ms =
+        renews ? pool->limits.lease_ms * kWaitSharePercent / 100 : 0;
+    list_call_t call = {
+        .target = &target->info,
+        .token = target->token,
+        .acked = target->acked,
+        .wait_ms = wait_ms,
+        .needs_fresh = target->session == kSessionMute,
+        .deadline_ns = now_ns + MS_TO_NS(wait_ms + kListSlackMs),
+        .list = target};
+    if (renews) {
+        call.lease_until_ms =
+            session_lease_until_ms(target, &pool->limits, now_ns);
+        session_note_lease(target, &pool->limits, now_ns);
+    }
+    target->is_list_open = true;
+    target->is_list_waiting = renews;
+    target->list_sent_ns = now_ns;
+    target->list_due_ns = INT64_MAX;
+    target->open_calls++;
+    counter_add(kCounterHoldsSent, 1);
+    pool->ops->list(pool->owner, &call);
+}
+
+static bool
+names_equal(const run_name_t *left, const run_name_t *right)
+{
+    return left->number == right->number && left->step == right->step &&
+           left->index == right->index && strcmp(left->job, right->job) == 0;
+}
+
+static pool_run_t *
+find_run(const pool_target_t *target, const run_name_t *name)
+{
+    pool_run_t *run = target->runs;
+    while (run != NULL && !names_equal(&run->name, name)) {
+        run = run->next;
+    }
+    return run;
+}
+
+static bool
+is_listed(const list_reply_t *reply, const run_name_t *name)
+{
+    for (uint32_t i = 0; i < reply->running_count; i++) {
+        if (names_equal(&reply->running[i].name, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Takes the ends of a list, oldest first.
+static void
+take_ends(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
+          int64_t now_ns)
+{
+    for (uint32_t i = 0; i < reply->ended_count; i++) {
+        const listed_run_t *end = &reply->ended[i];
+        if (end->number > target->acked) {
+            target->acked = end->number;
+        }
+        pool_run_t *run = find_run(target, &end->name);
+        if (run != NULL && !run->is_over) {
+            run_end(pool, run, end->how, now_ns);
+        }
+    }
+}
+
+/// Stops what runs there and belongs to no run of ours: it was started by an
+/// earlier owner, or by a call that was carried out late.
+static void
+stop_strangers(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
+               int64_t now_ns)
+{
+    for (uint32_t i = 0; i < reply->running_count; i++) {
+        pool_run_t *known = find_run(target, &reply->running[i].name);
+        if (known != NULL && !known->is_over) {
+            continue;
+        }
+        stop_call_t call = {.target = &target->info,
+                            .name = reply->running[i].name,
+                            .token = target->token,
+                            .deadline_ns = now_ns + MS_TO_NS(kListSlackMs)};
+        pool->ops->note(pool->owner, "stranger_stopped", call.name.job,
+                        target->info.id);
+        pool->ops->stop(pool->owner, &call);
+    }
+}
+
+/// Ends runs that a list sent after their start no longer shows.
+static void
+end_vanished(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
+             int64_t now_ns)
+{
+    pool_run_t *next;
+    for (pool_run_t *run = target->runs; run != NULL; run = next) {
+        next = run->next;
+        bool was_there = run->state == kRunActive &&
+                         run->started_ns < target->list_sent_ns;
+        bool is_too_late = run->state == kRunUnsure &&
+                           reply->clock_ms > run->lease_until_ms;
+        if (!run->is_over && !run->is_start_open &&
+            (was_there || is_too_late) && !is_listed(reply, &run->name)) {
+            run_end(pool, run, kRunEndLapsed, now_ns);
+            run_free_over(pool, run);
+        }
+    }
+}
+
+/// Frees runs that ended in this list.
+static void
+sweep_over(pool_t *pool, pool_target_t *target)
+{
+    pool_run_t *next;
+    for (pool_run_t *run = target->runs; run != NULL; run = next) {
+        next = run->next;
+        run_free_over(pool, run);
+    }
+}
+
+/// Another life of the target answers: nothing of the one before is left.
+static void
+take_new_life(pool_t *pool, pool_target_t *target, uint64_t born_ms,
+              int64_t now_ns)
+{
+    bool was_known = target->info.born_ms != 0;
+    target->info.born_ms = born_ms;
+    if (!was_known) {
+        return;
+    }
+    target->acked = 0;
+    target->acked_sent = 0;
+    for (pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        if (run->state != kRunStarting) {
+            run_end(pool, run, kRunEndLapsed, now_ns);
+        }
+    }
+}
+
+/// Sets when the next list goes out, after an answered one.
+static void
+plan_list(pool_target_t *target, bool has_strangers, int64_t now_ns)
+{
+    if (target->run_count > 0 || has_strangers) {
+        target->list_due_ns = now_ns;
+    }
+    else if (target->acked > target->acked_sent) {
+        target->list_due_ns = now_ns + MS_TO_NS(kLastAckMs);
+    }
+    else {
+        target->list_due_ns = INT64_MAX;
+    }
+}
+
+static void
+take_answered(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
+              uint64_t acked_sent, int64_t now_ns)
+{
+    target->mute_count = 0;
+    if (reply->born_ms != 0 && reply->born_ms != target->info.born_ms) {
+        take_new_life(pool, target, reply->born_ms, now_ns);
+        acked_sent = 0;
+    }
+    int64_t wait_ns = target->is_list_waiting
+                          ? MS_TO_NS(pool->limits.lease_ms) *
+                                kWaitSharePercent / 100
+                          : 0;
+    take_clock(target, reply->clock_ms, target->list_sent_ns, wait_ns, now_ns);
+    target->acked_sent = acked_sent;
+    bool was_new = target->session != kSessionReady;
+    take_ends(pool, target, reply, now_ns);
+    end_vanished(pool, target, reply, now_ns);
+    stop_strangers(pool, target, reply, now_ns);
+    sweep_over(pool, target);
+    bool has_strangers = reply->running_count > target->run_count;
+    if (was_new && !has_strangers) {
+        target->session = kSessionReady;
+        pool->is_dirty = true;
+        pool->ops->note(pool->owner, "target_ready", "", target->info.id);
+    }
+    plan_list(target, has_strangers, now_ns);
+}
+
+/// @return when to look at a mute target again
+static int64_t
+mute_repeat_ns(const pool_target_t *target, int64_t now_ns)
+{
+    int64_t repeat_ms = (int64_t)kMuteRepeatMs * target->mute_count;
+    return now_ns + MS_TO_NS(repeat_ms < kMuteRepeatLimitMs
+                                 ? repeat_ms
+                                 : kMuteRepeatLimitMs);
+}
+
+void
+pool_take_list(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
+               int64_t now_ns)
+{
+    target->is_list_open = false;
+    target->open_calls--;
+    uint64_t acked_sent = target->acked;
+    if (target->is_dropped) {
+        session_release(pool, target);
+        return;
+    }
+    if (reply->kind == kReplyDone) {
+        take_answered(pool, target, reply, acked_sent, now_ns);
+        return;
+    }
+    if (reply->kind == kReplyFenced) {
+        counter_add(kCounterTokensFenced, 1);
+        target->is_fenced = true;
+        pool->ops->fenced(pool->owner, &target->info);
+        return;
+    }
+    session_go_mute(pool, target, now_ns);
+    target->list_due_ns = mute_repeat_ns(target, now_ns);
+}
+
+/// Ends the runs of a mute target whose last lease is surely over.
+static void
+end_lapsed(pool_t *pool, pool_target_t *target, int64_t now_ns)
+{
+    pool_run_t *next;
+    for (pool_run_t *run = target->runs; run != NULL; run = next) {
+        next = run->next;
+        if (!run->is_start_open) {
+            run_end(pool, run, kRunEndLapsed, now_ns);
+            run_free_over(pool, run);
+        }
+    }
+}
+
+int64_t
+session_advance(pool_t *pool, pool_target_t *target, int64_t now_ns)
+{
+    int64_t due_ns = INT64_MAX;
+    bool is_silent = target->session == kSessionMute || target->is_fenced;
+    if (is_silent && target->run_count > 0) {
+        if (target->lapse_ns <= now_ns) {
+            end_lapsed(pool, target, now_ns);
+        }
+        else {
+            due_ns = target->lapse_ns;
+        }
+    }
+    for (pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        int64_t run_due_ns = run_advance(pool, run, now_ns);
+        due_ns = run_due_ns < due_ns ? run_due_ns : due_ns;
+    }
+    if (target->is_list_open || target->is_fenced) {
+        return due_ns;
+    }
+    if (target->list_due_ns <= now_ns) {
+        send_list(pool, target, now_ns);
+        return due_ns;
+    }
+    return target->list_due_ns < due_ns ? target->list_due_ns : due_ns;
+}
--- /dev/null
+++ b/src/pool/state.h
@@ -0,0 +1,162 @@
+/// State of a pool, shared by its modules.
+#ifndef JT_POOL_STATE_H
+#define JT_POOL_STATE_H
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+
+#include "base/arena.h"
+#include "pool/pool.h"
+
+#define MS_TO_NS(ms) ((int64_t)(ms) * 1000000)
+
+typedef struct pool_order pool_order_t;
+
+typedef enum { kTaskWaiting, kTaskPlaced, kTaskDone } pool_task_state_t;
+
+/// A task of an order.
+typedef struct {
+    pool_order_t *order;
+    uint32_t step;
+    uint32_t index; ///< within the step
+    pool_task_state_t state;
+    uint32_t run_number;   ///< of the last start
+    uint32_t failed_count; ///< runs that ended failed
+    char avoid[kPoolNameBytes]; ///< target of the last run that went wrong
+    pool_run_t *run;
+} pool_task_t;
+
+/// An order that is not settled.
+struct pool_order {
+    pool_order_t *next;
+    pool_order_t *prev;
+    arena_t *arena;
+    const order_t *order; ///< a copy
+    uint64_t client;
+    uint64_t request;
+    int64_t received_ns; ///< when the home received the job
+    int64_t deadline_ns; ///< when the caller gives up
+    int64_t objective_ns;
+    pool_task_t *tasks;
+    uint32_t task_count;
+    uint32_t waiting_count;
+    uint32_t *step_left; ///< tasks of each step that are not done
+    bool is_started;
+};
+
+typedef enum {
+    kRunStarting, ///< the call to start it is open
+    kRunActive,
+    kRunUnsure ///< the call to start it was not answered
+} pool_run_state_t;
+
+/// A run that occupies room on a target, or may do so.
+struct pool_run {
+    pool_run_t *next;
+    pool_run_t *prev;
+    pool_target_t *target;
+    pool_task_t *task; ///< NULL when nobody wants its outcome
+    run_name_t name;
+    pool_run_state_t state;
+    uint32_t cpu_mcores;
+    uint32_t memory_mb;
+    uint32_t accelerators;
+    uint32_t estimate_ms;
+    uint64_t lease_until_ms; ///< of its start, on the target's clock
+    int64_t started_ns;
+    int64_t stop_due_ns; ///< when to send the next stop; 0: not stopping
+    bool is_start_open;
+    bool is_stop_open;
+    bool is_over; ///< off the target; waits for open calls only
+};
+
+typedef enum {
+    kSessionNew,   ///< what runs there is not known
+    kSessionReady, ///< all that runs there is known
+    kSessionMute   ///< a call was not answered
+} session_t;
+
+/// A target of the pool.
+struct pool_target {
+    pool_target_info_t info;
+    uint64_t token;
+    session_t session;
+    bool is_dropped; ///< freed when its calls are answered
+    bool is_fenced;  ///< rejects the token; waits for a higher one
+    pool_run_t *runs;
+    uint32_t run_count;
+    uint32_t open_calls;
+    bool is_list_open;
+    bool is_list_waiting; ///< the open list waits for an end
+    bool list_renews;     ///< the open list carries a lease
+    int64_t list_sent_ns;
+    int64_t list_due_ns; ///< when to send the next list; INT64_MAX: never
+    uint64_t acked;      ///< number of the last end that was taken note of
+    uint64_t acked_sent; ///< highest number that an answered list carried
+    uint64_t clock_ms;   ///< last reading of its clock
+    int64_t clock_ns;    ///< when that reading came
+    int64_t clock_error_ns; ///< round trip of that reading
+    int64_t lapse_ns;       ///< when its last lease is surely over
+    uint32_t mute_count;    ///< calls in a row without an answer
+    uint32_t slowness_permille; ///< run time against the expected one
+    uint32_t sample_count;
+    uint32_t fail_count;   ///< failed orders in a row, each counted once
+    char fail_job[kPoolNameBytes];
+    int64_t eject_until_ns;
+    uint32_t eject_count;
+};
+
+struct pool {
+    pool_limits_t limits;
+    const pool_ops_t *ops;
+    void *owner;
+    arena_t *arena;
+    apr_hash_t *targets; ///< by id
+    pool_order_t *first;
+    pool_order_t *last;
+    uint32_t order_count;
+    uint32_t run_count;
+    uint32_t bias_permille; ///< mean of run time against the estimate
+    bool is_closed;
+    bool is_dirty; ///< something may be startable
+};
+
+/// sessions.c
+uint64_t session_lease_until_ms(const pool_target_t *target,
+                               const pool_limits_t *limits, int64_t now_ns);
+void session_note_lease(pool_target_t *target, const pool_limits_t *limits,
+                       int64_t now_ns);
+bool session_is_open(const pool_target_t *target, int64_t now_ns);
+void session_release(pool_t *pool, pool_target_t *target);
+int64_t session_advance(pool_t *pool, pool_target_t *target, int64_t now_ns);
+void session_go_mute(pool_t *pool, pool_target_t *target, int64_t now_ns);
+void session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
+                  int64_t now_ns);
+void session_note_failure(pool_target_t *target, const pool_run_t *run,
+                         int64_t now_ns);
+
+/// runs.c
+pool_run_t *run_create(pool_t *pool, pool_target_t *target, pool_task_t *task,
+                       int64_t now_ns);
+void run_end(pool_t *pool, pool_run_t *run, run_end_t how, int64_t now_ns);
+void run_lose(pool_t *pool, pool_run_t *run, int64_t now_ns);
+void run_stop(pool_t *pool, pool_run_t *run, int64_t now_ns);
+int64_t run_advance(pool_t *pool, pool_run_t *run, int64_t now_ns);
+void run_free_over(pool_t *pool, pool_run_t *run);
+
+/// orders.c
+void order_settle(pool_t *pool, pool_order_t *order, order_outcome_t outcome,
+                  error_kind_t kind, uint32_t retry_after_ms, int64_t now_ns);
+void order_task_done(pool_t *pool, pool_task_t *task, int64_t now_ns);
+void order_task_failed(pool_t *pool, pool_task_t *task, int64_t now_ns);
+void order_task_again(pool_t *pool, pool_task_t *task);
+int64_t order_advance(pool_t *pool, pool_order_t *order, int64_t now_ns);
+
+/// place.c
+void place_all(pool_t *pool, int64_t now_ns);
+uint32_t place_backlog_ms(const pool_t *pool, uint32_t priority);
+bool place_could_ever(const pool_t *pool, const order_t *order);
+int64_t place_expected_ns(const pool_t *pool, uint32_t estimate_ms,
+                          const pool_target_t *target);
+
+#endif
--- a/src/shell/app.c
+++ b/src/shell/app.c
@@ -17,6 +17,9 @@
 
 enum { kSettingsLimitBytes = 1024 * 1024, kKeyCheck = 0x100 };
 
+/// Names the settings file where the command line does not.
+static const char kSettingsVariable[] = "JAYTRESTLE_SETTINGS";
+
 const char *argp_program_version = "jaytrestle 0.1.0";
 
 /// What the command line says.
@@ -98,7 +101,7 @@
 {
     const struct argp argp = {
         .options = option_table, .parser = parse_option, .doc = app->doc};
-    options_t options = {0};
+    options_t options = {.settings_path = getenv(kSettingsVariable)};
     error_info_t err = {0};
     argp_err_exit_status = kExitUsage;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
