--- a/src/node/home.c
+++ b/src/node/home.c
@@ -11,7 +11,9 @@
 enum {
     kSilencePercent = 50,      ///< of resubmit_ms: the longest silence of a link
     kAnswerGraceMs = 300,      ///< beyond the caller's deadline
-    kNoOwnerRetryMs = 1000     ///< told to callers while no owner is known
+    kNoOwnerRetryMs = 1000,    ///< told to callers while no owner is known
+    kDrainRetryMs = 1000,      ///< told to callers of a stopping node
+    kJobRoomMs = 2000          ///< that a new job of a stopping node needs
 };
 
 int64_t
@@ -95,13 +97,25 @@
     return true;
 }
 
+/// @return whether the stop of this node leaves no time for another job
+static bool
+is_too_late(const node_t *node)
+{
+    return node->stop_ns != 0 &&
+           clock_now_ns() > node_stop_limit_ns(node) -
+                                (int64_t)kJobRoomMs * kNsPerMs;
+}
+
 void
 home_take_job(caller_job_t *job)
 {
     node_t *node = job->node;
     node_now_ns(node);
     link_job(node, job);
-    if (!assign(job)) {
+    if (is_too_late(node)) {
+        settle(job, kOrderOutcomeRefused, kErrorKindDraining, kDrainRetryMs);
+    }
+    else if (!assign(job)) {
         settle(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
                kNoOwnerRetryMs);
     }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,6 +19,7 @@
                         ///< balancer misses two checks, one a second
     kQuietMs = 300,     ///< without a request, after which it may end
     kLastCallMs = 600,  ///< before the kill, by when it must end
+    kFlushMs = 100,     ///< for the last answers to go out
     kPauseMs = 600      ///< gap of the loop that counts as a pause
 };
 
@@ -53,23 +54,27 @@
     return left_ns < right_ns ? left_ns : right_ns;
 }
 
+int64_t
+node_stop_limit_ns(const node_t *node)
+{
+    return node->stop_ns +
+           (int64_t)(node->settings->stop_limit_ms - kLastCallMs) * kNsPerMs;
+}
+
 /// @return whether nothing is left to do before the process ends
 static bool
-is_stopped(node_t *node, int64_t now_ns)
+is_finished(node_t *node, const pool_news_t *news, int64_t now_ns)
 {
-    int64_t limit_ns =
-        node->stop_ns +
-        (int64_t)(node->settings->stop_limit_ms - kLastCallMs) * kNsPerMs;
     bool is_quiet = now_ns - atomic_load(&node->last_job_ns) >
                     (int64_t)kQuietMs * kNsPerMs;
-    pool_news_t news = pool_read_news(node->pool, now_ns);
     bool is_idle = atomic_load(&node->job_count) == 0 &&
-                   news.order_count == 0 && news.run_count == 0;
-    return now_ns >= limit_ns ||
-           (is_idle && is_quiet &&
-            now_ns - node->stop_ns > (int64_t)kListenMs * kNsPerMs);
+                   news->order_count == 0 && news->run_count == 0;
+    return is_idle && is_quiet &&
+           now_ns - node->stop_ns > (int64_t)kListenMs * kNsPerMs;
 }
 
+/// Ends a stopping node when it has nothing left to do, or answers what is
+/// left when its time is over.
 static void
 advance_stop(node_t *node, int64_t now_ns)
 {
@@ -77,7 +82,13 @@
     if (news.order_count == 0 && news.run_count == 0) {
         owner_leave_all(node);
     }
-    if (is_stopped(node, now_ns) && node->on_stopped != NULL) {
+    bool is_over = now_ns >= node_stop_limit_ns(node);
+    if (node->end_ns == 0 && (is_over || is_finished(node, &news, now_ns))) {
+        home_lose_all(node);
+        node->end_ns = now_ns + (int64_t)kFlushMs * kNsPerMs;
+    }
+    if (node->end_ns != 0 && node->end_ns <= now_ns &&
+        node->on_stopped != NULL) {
         void (*on_stopped)(void *) = node->on_stopped;
         node->on_stopped = NULL;
         on_stopped(node->stopped_owner);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -70,6 +70,7 @@
     round_end_t advance;
     int64_t seen_ns; ///< last time that the loop is known to have run
     int64_t stop_ns; ///< when the stop began; 0: not stopping
+    int64_t end_ns;  ///< when a stopped node ends; 0: not yet known
     void (*on_stopped)(void *owner);
     void *stopped_owner;
 };
@@ -91,6 +92,9 @@
 /// Begins a graceful stop. Own thread only; on_stopped is called at its end.
 void node_stop(node_t *node);
 
+/// @return when a stopping node answers what is left and ends
+int64_t node_stop_limit_ns(const node_t *node);
+
 /// News from the platform. Own thread only.
 void node_take_queues(node_t *node, queue_table_t *table);
 void node_take_target(node_t *node, const pool_target_info_t *info);
