--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -224,7 +224,8 @@
         return kErrorKindDraining;
     }
     if (!place_could_ever(pool, order)) {
-        return kErrorKindNoFit;
+        return place_has_ready(pool) ? kErrorKindNoFit
+                                    : kErrorKindNoDispatcher;
     }
     int64_t finish_ns =
         MS_TO_NS(order->waited_ms + *backlog_ms + chain_ms(order));
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -211,6 +211,19 @@
     }
 }
 
+bool
+place_has_ready(const pool_t *pool)
+{
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const pool_target_t *target = apr_hash_this_val(at);
+        if (target->session == kSessionReady && !target->info.is_draining) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 place_could_ever(const pool_t *pool, const order_t *order)
 {
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -7,9 +7,9 @@
 #include "pool/state.h"
 
 enum {
-    kStartWaitMs = 400,  ///< for the answer to a start; usually 1 to 3 ms
-    kStopWaitMs = 400,   ///< for the answer to a stop
-    kStopRepeatMs = 500, ///< between two stops of one run
+    kStartWaitMs = 200,  ///< for the answer to a start; usually 1 to 3 ms
+    kStopWaitMs = 200,   ///< for the answer to a stop
+    kStopRepeatMs = 250, ///< between two stops of one run
     kFirstRun = 1
 };
 
@@ -247,7 +247,7 @@
 {
     counter_add(kCounterRunsUnanswered, 1);
     run->state = kRunUnsure;
-    session_go_mute(pool, run->target, now_ns);
+    session_note_silence(pool, run->target, now_ns);
     run_stop(pool, run, now_ns);
 }
 
@@ -321,6 +321,9 @@
     run->target->open_calls--;
     bool is_certain =
         reply->kind == kReplyDone || reply->kind == kReplyOtherLife;
+    if (is_certain) {
+        run->target->mute_count = 0;
+    }
     if (is_certain && run->state == kRunUnsure && !run->is_over) {
         // A start that is still on its way is rejected from now on; a run
         // that was there is ended and will be listed so.
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -7,8 +7,11 @@
 #include "pool/state.h"
 
 enum {
-    kWaitSharePercent = 50,   ///< of the lease that a list may wait for an end
-    kListSlackMs = 350,       ///< for the answer, beyond the wait
+    kWaitSharePercent = 20, ///< of the lease that a list waits for an end; the
+                            ///< news of an end is that late when a list is lost
+    kListSlackMs = 150,     ///< for the answer, beyond the wait
+    kNewSlackMs = 350,      ///< for the answer of a target that is not known
+    kMuteCalls = 2,         ///< calls in a row without an answer
     kLastAckMs = 60,          ///< from the last end to the list that notes it
     kMuteRepeatMs = 300,      ///< between two looks at a mute target
     kMuteRepeatLimitMs = 2000,
@@ -17,6 +20,8 @@
     kLearnWeightPercent = 25, ///< of a new sample
     kLearnFirstSamples = 4,   ///< that weigh more
     kSlownessLimitPermille = 20000,
+    kStallFactor = 3, ///< times the expected run time that a run may take
+    kStallSlackMs = 150,
     kEjectFailures = 2, ///< failed orders in a row
     kEjectMs = 1500,
     kEjectLimitMs = 12000,
@@ -75,6 +80,19 @@
     target->clock_error_ns = trip_ns > 0 ? trip_ns : 0;
 }
 
+void
+session_note_silence(pool_t *pool, pool_target_t *target, int64_t now_ns)
+{
+    target->mute_count++;
+    if (target->mute_count >= kMuteCalls ||
+        target->session != kSessionReady) {
+        session_go_mute(pool, target, now_ns);
+    }
+    else if (!target->is_list_open) {
+        target->list_due_ns = now_ns;
+    }
+}
+
 void
 session_go_mute(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
@@ -83,7 +101,6 @@
         pool->ops->note(pool->owner, "target_mute", "", target->info.id);
     }
     target->session = kSessionMute;
-    target->mute_count++;
     if (!target->is_list_open) {
         target->list_due_ns = now_ns;
     }
@@ -154,7 +171,8 @@
         .acked = target->acked,
         .wait_ms = wait_ms,
         .needs_fresh = target->session == kSessionMute,
-        .deadline_ns = now_ns + MS_TO_NS(wait_ms + kListSlackMs),
+        .deadline_ns = now_ns + MS_TO_NS(renews ? wait_ms + kListSlackMs
+                                                : (uint32_t)kNewSlackMs),
         .list = target};
     if (renews) {
         call.lease_until_ms =
@@ -361,8 +379,36 @@
         pool->ops->fenced(pool->owner, &target->info);
         return;
     }
-    session_go_mute(pool, target, now_ns);
-    target->list_due_ns = mute_repeat_ns(target, now_ns);
+    session_note_silence(pool, target, now_ns);
+    if (target->session == kSessionMute) {
+        target->list_due_ns = mute_repeat_ns(target, now_ns);
+    }
+}
+
+/// Stops a run that takes far longer than expected, as its target may stand
+/// still or be slow, so that its task is tried elsewhere. Each task is moved
+/// once.
+static int64_t
+move_stalled(pool_t *pool, pool_target_t *target, pool_run_t *run,
+             int64_t now_ns)
+{
+    if (run->is_over || run->task == NULL || run->state != kRunActive ||
+        run->task->is_moved || run->stop_due_ns != 0) {
+        return INT64_MAX;
+    }
+    int64_t expected_ns =
+        place_expected_ns(pool, run->estimate_ms, target);
+    int64_t due_ns = run->started_ns + expected_ns * kStallFactor +
+                     MS_TO_NS(kStallSlackMs);
+    if (due_ns > now_ns) {
+        return due_ns;
+    }
+    pool->ops->note(pool->owner, "run_stalled", run->name.job,
+                    target->info.id);
+    run->task->is_moved = true;
+    session_note_failure(target, run, now_ns);
+    run_stop(pool, run, now_ns);
+    return INT64_MAX;
 }
 
 /// Ends the runs of a mute target whose last lease is surely over.
@@ -394,6 +440,8 @@
     }
     for (pool_run_t *run = target->runs; run != NULL; run = run->next) {
         int64_t run_due_ns = run_advance(pool, run, now_ns);
+        int64_t move_due_ns = move_stalled(pool, target, run, now_ns);
+        run_due_ns = move_due_ns < run_due_ns ? move_due_ns : run_due_ns;
         due_ns = run_due_ns < due_ns ? run_due_ns : due_ns;
     }
     if (target->is_list_open || target->is_fenced) {
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -22,6 +22,7 @@
     pool_task_state_t state;
     uint32_t run_number;   ///< of the last start
     uint32_t failed_count; ///< runs that ended failed
+    bool is_moved;         ///< stopped once, as it took too long
     char avoid[kPoolNameBytes]; ///< target of the last run that went wrong
     pool_run_t *run;
 } pool_task_t;
@@ -129,6 +130,8 @@
 bool session_is_open(const pool_target_t *target, int64_t now_ns);
 void session_release(pool_t *pool, pool_target_t *target);
 int64_t session_advance(pool_t *pool, pool_target_t *target, int64_t now_ns);
+void session_note_silence(pool_t *pool, pool_target_t *target,
+                          int64_t now_ns);
 void session_go_mute(pool_t *pool, pool_target_t *target, int64_t now_ns);
 void session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
                   int64_t now_ns);
@@ -155,6 +158,7 @@
 /// place.c
 void place_all(pool_t *pool, int64_t now_ns);
 uint32_t place_backlog_ms(const pool_t *pool, uint32_t priority);
+bool place_has_ready(const pool_t *pool);
 bool place_could_ever(const pool_t *pool, const order_t *order);
 int64_t place_expected_ns(const pool_t *pool, uint32_t estimate_ms,
                           const pool_target_t *target);
