perf(pool): admit what can begin at once or is expected to end within its objective

Cause: under overload all jobs waited alike and were late together. The wait is now guessed from the expected ends of the runs at work and the tasks ahead.

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -7,7 +7,7 @@
 
 enum {
     kLateFactor = 3,         ///< times the objective after which it is worthless
-    kAdmitPercent = 125,     ///< of the objective that a new order may take
+    kAdmitPercent = 100,     ///< of the objective that a new order may take
     kRetryAfterLeastMs = 500 ///< told to callers that are refused
 };
 
@@ -217,20 +217,21 @@
 /// Decides whether a new order can still be answered in time.
 static error_kind_t
 judge_admission(const pool_t *pool, const order_t *order,
-                int64_t objective_ns, uint32_t *backlog_ms)
+                int64_t objective_ns, uint32_t *wait_ms, int64_t now_ns)
 {
-    *backlog_ms = place_backlog_ms(pool, order->priority);
+    int64_t wait_ns = place_wait_ns(pool, order, now_ns);
+    *wait_ms = (uint32_t)(wait_ns / MS_TO_NS(1) % UINT32_MAX);
     if (pool->is_closed) {
         return kErrorKindDraining;
     }
     if (!place_could_ever(pool, order)) {
         return place_has_ready(pool) ? kErrorKindNoFit
-                                    : kErrorKindNoDispatcher;
+                                     : kErrorKindNoDispatcher;
     }
-    int64_t finish_ns =
-        MS_TO_NS(order->waited_ms + *backlog_ms + chain_ms(order));
-    bool is_idle = *backlog_ms == 0;
-    return is_idle || finish_ns <= objective_ns * kAdmitPercent / 100
+    int64_t work_ns =
+        MS_TO_NS(chain_ms(order)) / 1000 * pool->bias_permille;
+    int64_t finish_ns = MS_TO_NS(order->waited_ms) + wait_ns + work_ns;
+    return wait_ns == 0 || finish_ns <= objective_ns * kAdmitPercent / 100
                ? kErrorKindOk
                : kErrorKindOverload;
 }
@@ -250,12 +251,12 @@
     }
     int64_t objective_ns = MS_TO_NS(
         chain_ms(order) * order->stretch_permille / 1000 + order->slo_ms);
-    uint32_t backlog_ms = 0;
+    uint32_t wait_ms = 0;
     error_kind_t kind =
-        judge_admission(pool, order, objective_ns, &backlog_ms);
+        judge_admission(pool, order, objective_ns, &wait_ms, now_ns);
     if (kind != kErrorKindOk) {
         refuse_new(pool, order, client, request, kind,
-                   retry_after_ms(backlog_ms));
+                   retry_after_ms(wait_ms));
         return;
     }
     arena_t *arena = arena_create();
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -1,4 +1,5 @@
 /// Placement: which waiting task starts on which target.
+#include <stdlib.h>
 #include <string.h>
 
 #include "pool/state.h"
@@ -7,6 +8,7 @@
     kAcceptPercent = 95, ///< of the objective that a run may be expected to take
     kAvoidPenaltyPermille = 3000, ///< for the target of the last bad run
     kDoubtPenaltyPermille = 1300, ///< after a failure that may be the order's
+    kLeastLeftMs = 10,      ///< of a run that is over its expected time
     kFitWeightPermille = 50 ///< of room left over, against the run time
 };
 
@@ -247,6 +249,99 @@
     return true;
 }
 
+/// What stands before a new order, for the guess of its wait.
+typedef struct {
+    uint64_t free_count;  ///< tasks of its size that fit now
+    uint64_t ahead_count; ///< waiting tasks that go first
+    int64_t *ends_ns;     ///< when runs are expected to end, from now on
+    uint32_t end_count;
+} line_t;
+
+static int
+compare_ns(const void *left, const void *right)
+{
+    int64_t a = *(const int64_t *)left;
+    int64_t b = *(const int64_t *)right;
+    return (a > b) - (a < b);
+}
+
+/// Notes when the runs of a target are expected to end.
+static void
+read_ends(const pool_t *pool, const pool_target_t *target, line_t *line,
+          int64_t now_ns)
+{
+    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        if (run->is_over) {
+            continue;
+        }
+        int64_t left_ns =
+            run->started_ns +
+            place_expected_ns(pool, run->estimate_ms, target) - now_ns;
+        line->ends_ns[line->end_count++] =
+            left_ns > MS_TO_NS(kLeastLeftMs) ? left_ns
+                                             : MS_TO_NS(kLeastLeftMs);
+    }
+}
+
+static void
+read_line(const pool_t *pool, const order_t *order, const order_step_t *step,
+          line_t *line, int64_t now_ns)
+{
+    for (apr_hash_index_t *at = apr_hash_first(NULL, pool->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const pool_target_t *target = apr_hash_this_val(at);
+        if (!session_is_open(target, now_ns)) {
+            continue;
+        }
+        room_t room = read_room(target);
+        if (room.cpu_mcores > 0 && step->cpu_mcores > 0) {
+            line->free_count +=
+                (uint64_t)room.cpu_mcores / step->cpu_mcores;
+        }
+        read_ends(pool, target, line, now_ns);
+    }
+    for (const pool_order_t *other = pool->first; other != NULL;
+         other = other->next) {
+        if (other->order->priority > order->priority) {
+            break;
+        }
+        line->ahead_count += other->waiting_count;
+    }
+}
+
+/// @return the expected wait until the last of `count` tasks starts
+static int64_t
+guess_wait_ns(const line_t *line, uint64_t count)
+{
+    uint64_t needed = line->ahead_count + count;
+    if (needed <= line->free_count) {
+        return 0;
+    }
+    needed -= line->free_count;
+    if (line->end_count == 0) {
+        return INT64_MAX / 4;
+    }
+    // Beyond the runs at work now, the same again in their longest time.
+    int64_t rounds = (int64_t)((needed - 1) / line->end_count);
+    return line->ends_ns[(needed - 1) % line->end_count] +
+           rounds * line->ends_ns[line->end_count - 1];
+}
+
+int64_t
+place_wait_ns(const pool_t *pool, const order_t *order, int64_t now_ns)
+{
+    const order_step_t *step = &order->steps[0];
+    line_t line = {0};
+    line.ends_ns = malloc((pool->run_count + 1) * sizeof *line.ends_ns);
+    read_line(pool, order, step, &line, now_ns);
+    qsort(line.ends_ns, line.end_count, sizeof *line.ends_ns, compare_ns);
+    bool can_begin = line.ahead_count < line.free_count;
+    int64_t wait_ns =
+        can_begin ? 0 : guess_wait_ns(&line, step->task_count);
+    free(line.ends_ns);
+    return wait_ns;
+}
+
 uint32_t
 place_backlog_ms(const pool_t *pool, uint32_t priority)
 {
