--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -14,6 +14,9 @@
     void (*start)(adapter_t *adapter, const start_call_t *call);
     void (*stop)(adapter_t *adapter, const stop_call_t *call);
     void (*list)(adapter_t *adapter, const list_call_t *call);
+    /// Asks a target for any sign of life; answered by node_take_probe where
+    /// there is one.
+    void (*probe)(adapter_t *adapter, const pool_target_info_t *target);
     /// Joins the owners of a data centre's targets or stays among them;
     /// answered by node_take_joined.
     void (*join)(adapter_t *adapter, const char *dc, const char *member,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -210,6 +210,29 @@
     node_kick(node);
 }
 
+void
+node_take_settings(node_t *node, const node_settings_t *settings)
+{
+    const node_settings_t *old = node->settings;
+    bool has_moved = strcmp(old->name, settings->name) != 0 ||
+                     strcmp(old->address, settings->address) != 0 ||
+                     strcmp(old->callers, settings->callers) != 0 ||
+                     old->peer_port != settings->peer_port ||
+                     old->cell_count != settings->cell_count;
+    if (has_moved) {
+        log_event("settings_kept",
+                  "reason=\"name, addresses and cells need a restart\"");
+        return;
+    }
+    node->settings = settings;
+    const pool_limits_t limits = {.lease_ms = settings->hold_limit_ms,
+                                  .stop_grace_ms = settings->stop_grace_ms,
+                                  .remote_permille = settings->remote_factor};
+    pool_set_limits(node->pool, &limits);
+    log_event("settings_taken", "hold_limit_ms=%u resubmit_ms=%u",
+              settings->hold_limit_ms, settings->resubmit_ms);
+}
+
 void
 node_take_queues(node_t *node, queue_table_t *table)
 {
@@ -237,6 +260,13 @@
     peers_update(node);
 }
 
+void
+node_take_members_listed(node_t *node)
+{
+    node->has_members = true;
+    node_kick(node);
+}
+
 void
 node_drop_member(node_t *node, const char *name)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,11 +32,15 @@
     cells_t cells;
     bool is_member;    ///< joined, or joining
     bool is_join_open; ///< a call is on its way
+    bool is_retiring;  ///< letting all its cells go, to leave
     int64_t join_due_ns;
     uint32_t join_failures; ///< in a row
     int64_t short_since_ns;
     int64_t settled_since_ns;
-    uint32_t target_count; ///< known in the data centre
+    int64_t leaving_since_ns; ///< since when cells are leaving
+    int64_t reached_ns;       ///< when a target there last answered a probe
+    int64_t probe_due_ns;     ///< when to send the next probe
+    uint32_t target_count;    ///< known in the data centre
 } dc_pool_t;
 
 struct node {
@@ -58,6 +62,7 @@
     uint32_t dc_count;
     apr_hash_t *targets; ///< known_target_t by id
     members_t members;
+    bool has_members; ///< they were listed once
     member_t *self;
     peer_t *peers;
     guest_t *guests;
@@ -95,6 +100,12 @@
 /// @return when a stopping node answers what is left and ends
 int64_t node_stop_limit_ns(const node_t *node);
 
+/// Takes changed settings over. The name, the data centre and the addresses
+/// of a process stay as they were. Own thread only.
+///
+/// @param settings  must last as long as the node
+void node_take_settings(node_t *node, const node_settings_t *settings);
+
 /// News from the platform. Own thread only.
 void node_take_queues(node_t *node, queue_table_t *table);
 void node_take_target(node_t *node, const pool_target_info_t *info);
@@ -102,6 +113,12 @@
 void node_take_member(node_t *node, const node_record_t *record);
 void node_drop_member(node_t *node, const char *name);
 
+/// All records of nodes that were there at the start are known.
+void node_take_members_listed(node_t *node);
+
+/// A target of a data centre answered a probe.
+void node_take_probe(node_t *node, const char *dc);
+
 /// How a join ended.
 typedef struct {
     bool is_answered;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -12,7 +12,11 @@
     kJoinMs = 350,           ///< between two joins; the least time to live is
                              ///< about three times that
     kJoinRetryMs = 150,      ///< after a join without an answer
-    kJoinRetryLimitMs = 1000 ///< where many had none
+    kJoinRetryLimitMs = 1000, ///< where many had none
+    kLeavingLimitMs = 2500,   ///< for the runs of leaving cells to end
+    kLeavingLookMs = 40,      ///< between two looks at them
+    kProbeMs = 500,           ///< between two probes of a data centre
+    kProbeLifeMs = 1000       ///< that an answer to a probe counts for
 };
 
 /// A target that the platform lists.
@@ -39,7 +43,10 @@
     const cells_t *cells = &known->pool->cells;
     uint64_t token = cells->tokens[cells_find(cells, known->info.id)];
     if (token != 0) {
-        pool_put_target(node->pool, &known->info, token, now_ns);
+        pool_target_info_t info = known->info;
+        info.is_draining |=
+            cells->is_leaving[cells_find(cells, known->info.id)];
+        pool_put_target(node->pool, &info, token, now_ns);
     }
     else {
         pool_drop_target(node->pool, known->info.id, now_ns);
@@ -153,10 +160,10 @@
         return;
     }
     pool->join_failures = 0;
-    bool has_risen = joined->generation > pool->cells.generation;
+    bool has_risen = joined->generation > pool->cells.newest;
     pool->join_due_ns =
         has_risen ? now_ns : now_ns + (int64_t)kJoinMs * kNsPerMs;
-    if (!pool->is_member) {
+    if (!pool->is_member || pool->is_retiring) {
         return;
     }
     uint32_t held_before = cells_held(&pool->cells);
@@ -174,6 +181,76 @@
     node_kick(node);
 }
 
+/// Lets leaving cells go whose targets have no run left, or all of them when
+/// that took too long.
+static int64_t
+release_cells(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    cells_t *cells = &pool->cells;
+    if (cells->leaving_count == 0) {
+        pool->leaving_since_ns = 0;
+        return INT64_MAX;
+    }
+    if (pool->leaving_since_ns == 0) {
+        pool->leaving_since_ns = now_ns;
+    }
+    bool is_over = now_ns - pool->leaving_since_ns >=
+                   (int64_t)kLeavingLimitMs * kNsPerMs;
+    bool *is_busy = calloc(cells->count, sizeof *is_busy);
+    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const known_target_t *known = apr_hash_this_val(at);
+        if (known->pool == pool) {
+            is_busy[cells_find(cells, known->info.id)] |=
+                pool_target_runs(node->pool, known->info.id) > 0;
+        }
+    }
+    for (uint32_t i = 0; i < cells->count; i++) {
+        if (cells->is_leaving[i] && (is_over || !is_busy[i])) {
+            cells_release(cells, i);
+        }
+    }
+    free(is_busy);
+    place_targets(node, pool, now_ns);
+    if (cells->leaving_count > 0) {
+        return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
+    }
+    pool->join_due_ns = now_ns;
+    return now_ns;
+}
+
+/// Before a node joins the owners elsewhere, a target there must answer:
+/// behind a cut, it could serve none of them.
+static bool
+is_in_reach(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    if (pool->reached_ns != 0 &&
+        now_ns - pool->reached_ns < (int64_t)kProbeLifeMs * kNsPerMs) {
+        return true;
+    }
+    if (pool->probe_due_ns > now_ns) {
+        return false;
+    }
+    pool->probe_due_ns = now_ns + (int64_t)kProbeMs * kNsPerMs;
+    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
+         at != NULL; at = apr_hash_next(at)) {
+        const known_target_t *known = apr_hash_this_val(at);
+        if (known->pool == pool && !known->info.is_draining) {
+            node->adapter_ops->probe(node->adapter, &known->info);
+            return false;
+        }
+    }
+    return false;
+}
+
+void
+node_take_probe(node_t *node, const char *dc)
+{
+    dc_pool_t *pool = find_dc(node, dc);
+    pool->reached_ns = node_now_ns(node);
+    node_kick(node);
+}
+
 static candidate_t
 describe_candidate(node_t *node, dc_pool_t *pool, int64_t now_ns)
 {
@@ -212,6 +289,7 @@
 {
     log_event("pool_left", "dc=%s reason=\"%s\"", pool->dc, reason);
     pool->is_member = false;
+    pool->is_retiring = false;
     bool had_cells = cells_held(&pool->cells) > 0;
     cells_drop(&pool->cells);
     place_targets(node, pool, node_now_ns(node));
@@ -221,15 +299,38 @@
     }
 }
 
+/// Ends the membership of a pool that has enough other owners, once no run is
+/// left on its targets.
+static void
+retire(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    if (!pool->is_retiring) {
+        log_event("pool_retiring", "dc=%s", pool->dc);
+        pool->is_retiring = true;
+        cells_take(&pool->cells, pool->cells.newest, NULL, 0);
+        place_targets(node, pool, now_ns);
+        owner_publish(node);
+    }
+    release_cells(node, pool, now_ns);
+    if (pool->cells.leaving_count == 0) {
+        leave(node, pool, "enough owners");
+    }
+}
+
 /// Joins or leaves a pool as its other owners come and go.
 static int64_t
 decide_membership(node_t *node, dc_pool_t *pool, int64_t now_ns)
 {
-    if (atomic_load(&node->is_draining) || pool->target_count == 0) {
+    if (atomic_load(&node->is_draining) || pool->target_count == 0 ||
+        !node->has_members) {
         return INT64_MAX;
     }
     candidate_t candidate = describe_candidate(node, pool, now_ns);
     int64_t join_ns = candidate_join_ns(&candidate, now_ns);
+    if (join_ns <= now_ns && !candidate.is_own_dc &&
+        !is_in_reach(node, pool, now_ns)) {
+        return pool->probe_due_ns;
+    }
     if (join_ns <= now_ns) {
         log_event("pool_joined", "dc=%s rank=%u wanted=%u owners=%u", pool->dc,
                   candidate.rank, candidate.wanted_count,
@@ -239,12 +340,12 @@
         return now_ns;
     }
     int64_t leave_ns = candidate_leave_ns(&candidate);
-    if (leave_ns <= now_ns &&
-        pool_read_news(node->pool, now_ns).order_count == 0) {
-        leave(node, pool, "enough owners");
-        return INT64_MAX;
+    if (leave_ns <= now_ns) {
+        // Its cells are let go one by one as their runs end.
+        retire(node, pool, now_ns);
+        return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
     }
-    return join_ns;
+    return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
 int64_t
@@ -254,7 +355,9 @@
     for (uint32_t i = 0; i < node->dc_count; i++) {
         dc_pool_t *pool = &node->dcs[i];
         int64_t decide_ns = decide_membership(node, pool, now_ns);
+        int64_t release_ns = release_cells(node, pool, now_ns);
         due_ns = decide_ns < due_ns ? decide_ns : due_ns;
+        due_ns = release_ns < due_ns ? release_ns : due_ns;
         if (!pool->is_member || pool->is_join_open) {
             continue;
         }
--- a/src/own/cells.h
+++ b/src/own/cells.h
@@ -8,10 +8,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/// The store hands a cell that it moves to its next owner only when the one
+/// before joins with the new generation. Until then that one may let its runs
+/// end: such a cell is leaving.
 typedef struct {
     uint64_t *tokens; ///< by cell; 0 for a cell that is not ours
+    bool *is_leaving; ///< by cell: moved away, and not yet let go
     uint32_t count;
-    uint64_t generation; ///< of the last answer
+    uint32_t leaving_count;
+    uint64_t generation; ///< to join with
+    uint64_t newest;     ///< of the last answer
 } cells_t;
 
 /// Creates a table that holds no cell. End it with cells_clear.
@@ -20,7 +26,8 @@
 void cells_clear(cells_t *cells);
 
 /// Takes the answer of the store: the cells that this member holds now. A
-/// cell that is held on keeps its token.
+/// cell that is held on keeps its token; one that is no longer held is
+/// leaving from now on.
 ///
 /// @return whether any cell came or went
 bool cells_take(cells_t *cells, uint64_t generation, const uint32_t *held,
@@ -32,13 +39,17 @@
 /// @return whether the token rose
 bool cells_raise(cells_t *cells, uint32_t cell);
 
+/// Lets a leaving cell go. With the last one, the newest generation is the one
+/// to join with.
+void cells_release(cells_t *cells, uint32_t cell);
+
 /// Gives all cells up.
 void cells_drop(cells_t *cells);
 
 /// @return the cell of a target
 uint32_t cells_find(const cells_t *cells, const char *target_id);
 
-/// @return how many cells are held
+/// @return how many cells are held, without those that are leaving
 uint32_t cells_held(const cells_t *cells);
 
 #endif
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -30,6 +30,12 @@
     return pool;
 }
 
+void
+pool_set_limits(pool_t *pool, const pool_limits_t *limits)
+{
+    pool->limits = *limits;
+}
+
 void
 pool_destroy(pool_t *pool)
 {
@@ -65,6 +71,13 @@
     return target == NULL ? 0 : target->token;
 }
 
+uint32_t
+pool_target_runs(const pool_t *pool, const char *id)
+{
+    const pool_target_t *target = find_target(pool, id);
+    return target == NULL ? 0 : target->run_count;
+}
+
 static void
 add_target(pool_t *pool, const pool_target_info_t *info, uint64_t token,
            int64_t now_ns)
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -149,6 +149,9 @@
 pool_t *pool_create(const pool_limits_t *limits, const pool_ops_t *ops,
                     void *owner);
 
+/// Changes the limits for all later calls.
+void pool_set_limits(pool_t *pool, const pool_limits_t *limits);
+
 /// Frees a pool whose calls have all been answered.
 void pool_destroy(pool_t *pool);
 
@@ -164,6 +167,9 @@
 /// @return the token that the pool uses for a target; 0 where it has none
 uint64_t pool_target_token(const pool_t *pool, const char *id);
 
+/// @return how many runs occupy room on a target
+uint32_t pool_target_runs(const pool_t *pool, const char *id);
+
 /// Takes an order, or refuses it at once through settle. An order for a job
 /// that runs here already takes the place of the earlier one.
 ///
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -12,6 +12,7 @@
     kListSlackMs = 150,     ///< for the answer, beyond the wait
     kNewSlackMs = 350,      ///< for the answer of a target that is not known
     kMuteCalls = 2,         ///< calls in a row without an answer
+    kStrangerLookMs = 25, ///< between two lists while runs of others stop
     kLastAckMs = 60,          ///< from the last end to the list that notes it
     kMuteRepeatMs = 300,      ///< between two looks at a mute target
     kMuteRepeatLimitMs = 2000,
@@ -308,7 +309,10 @@
 static void
 plan_list(pool_target_t *target, bool has_strangers, int64_t now_ns)
 {
-    if (target->run_count > 0 || has_strangers) {
+    if (has_strangers) {
+        target->list_due_ns = now_ns + MS_TO_NS(kStrangerLookMs);
+    }
+    else if (target->run_count > 0) {
         target->list_due_ns = now_ns;
     }
     else if (target->acked > target->acked_sent) {
--- a/src/shell/app.c
+++ b/src/shell/app.c
@@ -17,6 +17,8 @@
 
 enum { kSettingsLimitBytes = 1024 * 1024, kKeyCheck = 0x100 };
 
+static const char *settings_path; ///< of the file that was read
+
 /// Names the settings file where the command line does not.
 static const char kSettingsVariable[] = "JAYTRESTLE_SETTINGS";
 
@@ -106,6 +108,7 @@
     argp_err_exit_status = kExitUsage;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     log_open(app->name);
+    settings_path = options.settings_path;
     if (!app_load_settings(options.settings_path, app->settings_desc, arena,
                            settings, &err)) {
         fprintf(stderr, "%s: settings: %s\n", app->name, err.text);
@@ -124,10 +127,30 @@
     apr_setup_signal_thread();
 }
 
+static void (*hangup_hook)(void *owner);
+static void *hangup_owner;
+
+void
+app_on_hangup(void (*hook)(void *owner), void *owner)
+{
+    hangup_hook = hook;
+    hangup_owner = owner;
+}
+
+const char *
+app_settings_path(void)
+{
+    return settings_path;
+}
+
 /// @return 1 for a signal that asks for a stop
 static int
 is_stop_signal(int number)
 {
+    if (number == SIGHUP && hangup_hook != NULL) {
+        hangup_hook(hangup_owner);
+        return 0;
+    }
     return number == SIGTERM || number == SIGINT || number == SIGHUP;
 }
 
--- a/src/shell/app.h
+++ b/src/shell/app.h
@@ -27,6 +27,13 @@
 bool app_load_settings(const char *path, const record_desc_t *desc,
                        arena_t *arena, void *settings, error_info_t *err);
 
+/// Has SIGHUP call a hook on the thread that waits for the stop, in place of
+/// stopping the process.
+void app_on_hangup(void (*hook)(void *owner), void *owner);
+
+/// @return path of the settings file that app_start read
+const char *app_settings_path(void);
+
 /// Waits until the process is asked to stop.
 void app_wait_for_stop(void);
 
--- a/src/shell/clock.c
+++ b/src/shell/clock.c
@@ -6,7 +6,7 @@
 clock_now_ns(void)
 {
     struct timespec now;
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    clock_gettime(CLOCK_BOOTTIME, &now);
     return (int64_t)now.tv_sec * NS_PER_S + now.tv_nsec;
 }
 
--- a/src/shell/clock.h
+++ b/src/shell/clock.h
@@ -1,4 +1,5 @@
-/// The monotonic clock of the machine. Decisions take the time as an
+/// The monotonic clock of the machine, which also counts the time that the
+/// machine was suspended. Decisions take the time as an
 /// argument; only shells call this.
 #ifndef JT_SHELL_CLOCK_H
 #define JT_SHELL_CLOCK_H
