--- /dev/null
+++ b/tests/unit/test_pool.c
@@ -0,0 +1,370 @@
+/// The pool against fake targets on a virtual clock.
+#include "pool/pool.h"
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support/suite.h"
+#include "support/world.h"
+
+#define MS(ms) ((int64_t)(ms)*1000000)
+
+enum { kTargets = 6, kSeeds = 20, kOwnersGapMs = 1300 };
+
+static world_t world;
+
+static int64_t
+work_100ms(world_t *of, const run_name_t *name)
+{
+    (void)of;
+    (void)name;
+    return MS(100);
+}
+
+static void
+open_world(uint32_t targets, uint64_t seed)
+{
+    world_init(&world, targets, seed);
+    world.work_ns = work_100ms;
+    world_own(&world, 0, 5);
+    world_run_until(&world, world.now_ns + MS(50));
+}
+
+static void
+pass_ms(int64_t ms)
+{
+    world_run_until(&world, world.now_ns + MS(ms));
+}
+
+static uint32_t
+running_count(void)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < world.target_count; i++) {
+        count += world.targets[i].run_count;
+    }
+    return count;
+}
+
+static void
+test_order_runs(void)
+{
+    open_world(kTargets, 1);
+    world_order(&world, 0, "a1", 8, 100, 0);
+    pass_ms(50);
+    CU_ASSERT_EQUAL(running_count(), 8);
+    pass_ms(300);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    CU_ASSERT_EQUAL(world.tally.starts, 8);
+    CU_ASSERT_EQUAL(world.tally.overloads, 0);
+    world_clear(&world);
+}
+
+static void
+test_ends_are_acknowledged(void)
+{
+    open_world(kTargets, 1);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(600);
+    for (uint32_t i = 0; i < kTargets; i++) {
+        CU_ASSERT_EQUAL(world.targets[i].acked, world.targets[i].end_number);
+    }
+    world_clear(&world);
+}
+
+static void
+test_withdrawn_order_stops(void)
+{
+    open_world(kTargets, 1);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(20);
+    pool_withdraw(world.pools[0], 1, 0xa1, world.now_ns);
+    pass_ms(30);
+    CU_ASSERT_EQUAL(running_count(), 0);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 0);
+    world_clear(&world);
+}
+
+static void
+test_lost_client_stops_orders(void)
+{
+    open_world(kTargets, 1);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(20);
+    pool_drop_client(world.pools[0], 1, world.now_ns);
+    pass_ms(30);
+    CU_ASSERT_EQUAL(running_count(), 0);
+    world_clear(&world);
+}
+
+static void
+test_resubmitted_job_joins(void)
+{
+    open_world(kTargets, 1);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(20);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(300);
+    CU_ASSERT_EQUAL(world.tally.starts, 4);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    world_clear(&world);
+}
+
+static void
+test_failing_target_is_ejected(void)
+{
+    open_world(kTargets, 1);
+    world.targets[2].is_failing = true;
+    for (uint32_t i = 0; i < 30; i++) {
+        char job[8];
+        snprintf(job, sizeof job, "%x", 100 + i);
+        world_order(&world, 0, job, 2, 100, 0);
+        pass_ms(120);
+    }
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 30);
+    // Two orders find it out, and one more after each pause.
+    CU_ASSERT(world.targets[2].end_number <= 6);
+    world_clear(&world);
+}
+
+static void
+test_order_that_cannot_run_fails(void)
+{
+    open_world(kTargets, 1);
+    for (uint32_t i = 0; i < kTargets; i++) {
+        world.targets[i].is_failing = true;
+    }
+    world_order(&world, 0, "a1", 1, 100, 0);
+    pass_ms(3000);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeFailed], 1);
+    CU_ASSERT_EQUAL(world.tally.starts, 3);
+    world_clear(&world);
+}
+
+static void
+test_stalled_run_is_moved(void)
+{
+    open_world(2, 1);
+    world.targets[0].is_stuck = true;
+    world.targets[1].is_stuck = true;
+    world_order(&world, 0, "a1", 1, 100, 0);
+    pass_ms(100);
+    world.targets[0].is_stuck = false;
+    world.targets[1].is_stuck = false;
+    pass_ms(900);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    CU_ASSERT_EQUAL(world.tally.starts, 2);
+    CU_ASSERT_EQUAL(world.tally.doubles, 0);
+    world_clear(&world);
+}
+
+static void
+test_dark_target_lapses_first(void)
+{
+    open_world(2, 1);
+    world_order(&world, 0, "a1", 4, 100, 0);
+    pass_ms(20);
+    world.targets[0].is_dark = true;
+    world.targets[0].is_stuck = true;
+    for (uint32_t i = 0; i < world.targets[0].run_count; i++) {
+        world.targets[0].runs[i].end_ns = INT64_MAX;
+    }
+    pass_ms(2500);
+    CU_ASSERT_EQUAL(world.tally.doubles, 0);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    world_clear(&world);
+}
+
+static void
+test_new_life_runs_again(void)
+{
+    open_world(1, 1);
+    world_order(&world, 0, "a1", 2, 400, 0);
+    pass_ms(20);
+    world_restart(&world, 0);
+    pass_ms(1000);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    CU_ASSERT_EQUAL(world.tally.starts, 4);
+    world_clear(&world);
+}
+
+static void
+test_draining_target_gets_nothing(void)
+{
+    open_world(2, 1);
+    pool_target_info_t info = world.targets[0].info;
+    info.is_draining = true;
+    pool_put_target(world.pools[0], &info, 5, world.now_ns);
+    world_order(&world, 0, "a1", 2, 100, 0);
+    pass_ms(300);
+    CU_ASSERT_EQUAL(world.targets[0].end_number, 0);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    world_clear(&world);
+}
+
+static void
+test_new_owner_stops_strangers(void)
+{
+    open_world(2, 1);
+    world_order(&world, 0, "a1", 4, 1000, 0);
+    pass_ms(20);
+    world.owners[0].is_frozen = true;
+    world_own(&world, 1, 6);
+    pass_ms(60);
+    CU_ASSERT_EQUAL(running_count(), 0);
+    world_order(&world, 1, "b1", 2, 100, 0);
+    pass_ms(300);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    // The one before thaws: its token is rejected.
+    world.owners[0].is_frozen = false;
+    world_order(&world, 0, "c1", 2, 100, 0);
+    pass_ms(300);
+    CU_ASSERT_EQUAL(world.tally.starts, 6);
+    world_clear(&world);
+}
+
+static void
+test_overload_is_refused_at_once(void)
+{
+    open_world(2, 1);
+    for (uint32_t i = 0; i < 40; i++) {
+        char job[8];
+        snprintf(job, sizeof job, "%x", 100 + i);
+        world_order(&world, 0, job, 2, 100, 0);
+        pass_ms(1);
+    }
+    CU_ASSERT(world.tally.counts[kOrderOutcomeRefused] > 20);
+    pass_ms(2000);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete] +
+                        world.tally.counts[kOrderOutcomeRefused],
+                    40);
+    world_clear(&world);
+}
+
+static void
+test_urgent_goes_first(void)
+{
+    open_world(1, 1);
+    world_order(&world, 0, "a1", 2, 100, 1);
+    world_order(&world, 0, "b1", 2, 100, 1);
+    world_order(&world, 0, "c1", 2, 100, 0);
+    pass_ms(20);
+    CU_ASSERT_STRING_EQUAL(world.targets[0].runs[0].name.job, "c1");
+    world_clear(&world);
+}
+
+/// Jobs that are lost are handed in again to the other owner, after the time
+/// that callers wait.
+static char resubmit_jobs[1024][16];
+static uint32_t resubmit_count;
+static uint32_t resubmit_next;
+static uint32_t resubmit_pool;
+
+static void
+resubmit(world_t *of)
+{
+    world_order(of, resubmit_pool, resubmit_jobs[resubmit_next++], 3, 100, 0);
+}
+
+static void
+on_lost(world_t *of, uint32_t pool, const pool_settled_t *settled)
+{
+    (void)pool;
+    if (settled->outcome == kOrderOutcomeLost && resubmit_count < 1024) {
+        snprintf(resubmit_jobs[resubmit_count++], 16, "%s", settled->job);
+        world_at(of, of->now_ns + MS(kOwnersGapMs), resubmit);
+    }
+}
+
+/// Everything at once, from a seed: lost and late orders, targets that fail,
+/// stand still, go dark and start again, and an owner that freezes while
+/// another takes over.
+static void
+play_faults(uint64_t seed)
+{
+    open_world(12, seed);
+    resubmit_count = 0;
+    resubmit_next = 0;
+    resubmit_pool = 0;
+    world.on_settled = on_lost;
+    world.odds = (world_odds_t){.lost_permille = 30, .late_permille = 50};
+    rng_t rng = {.state = seed * 77};
+    uint64_t token = 6;
+    for (uint32_t i = 0; i < 400; i++) {
+        char job[16];
+        snprintf(job, sizeof job, "%x", 4096 + i);
+        world_order(&world, resubmit_pool, job, 1 + rng_below(&rng, 4), 100,
+                    rng_below(&rng, 3));
+        world_target_t *target = &world.targets[rng_below(&rng, 12)];
+        uint32_t fault = rng_below(&rng, 40);
+        target->is_dark = fault == 0;
+        target->is_stuck = fault == 1;
+        target->is_failing = fault == 2;
+        if (fault == 3) {
+            world_restart(&world, rng_below(&rng, 12));
+        }
+        if (rng_below(&rng, 100) == 0) {
+            // The owner freezes; its orders come again elsewhere.
+            world.owners[resubmit_pool].is_frozen = true;
+            resubmit_pool = 1 - resubmit_pool;
+            pass_ms(kOwnersGapMs);
+            world_own(&world, resubmit_pool, token++);
+            pass_ms(3000);
+            world.owners[1 - resubmit_pool].is_frozen = false;
+            pool_reset(world.pools[1 - resubmit_pool], world.now_ns);
+        }
+        pass_ms(30);
+    }
+    for (uint32_t i = 0; i < 12; i++) {
+        world.targets[i].is_dark = false;
+        world.targets[i].is_stuck = false;
+        world.targets[i].is_failing = false;
+    }
+    world.odds = (world_odds_t){0};
+    pass_ms(20000);
+    pool_news_t news = pool_read_news(world.pools[resubmit_pool],
+                                      world.now_ns);
+    if (world.tally.doubles != 0 || news.run_count != 0) {
+        printf("seed %llu: doubles=%u runs=%u\n", (unsigned long long)seed,
+               world.tally.doubles, news.run_count);
+    }
+    CU_ASSERT_EQUAL(world.tally.doubles, 0);
+    CU_ASSERT_EQUAL(news.run_count, 0);
+    CU_ASSERT_EQUAL(news.order_count, 0);
+    CU_ASSERT(world.tally.counts[kOrderOutcomeComplete] > 200);
+    world_clear(&world);
+}
+
+static void
+test_no_double_under_faults(void)
+{
+    for (uint64_t seed = 1; seed <= kSeeds; seed++) {
+        play_faults(seed);
+    }
+}
+
+int
+main(void)
+{
+    apr_initialize();
+    const CU_TestInfo tests[] = {
+        {"an order runs", test_order_runs},
+        {"ends are acknowledged", test_ends_are_acknowledged},
+        {"a withdrawn order stops", test_withdrawn_order_stops},
+        {"a lost client's orders stop", test_lost_client_stops_orders},
+        {"a resubmitted job joins", test_resubmitted_job_joins},
+        {"a failing target is ejected", test_failing_target_is_ejected},
+        {"an order that cannot run fails", test_order_that_cannot_run_fails},
+        {"a stalled run is moved", test_stalled_run_is_moved},
+        {"a dark target's lease lapses first", test_dark_target_lapses_first},
+        {"a new life runs again", test_new_life_runs_again},
+        {"a draining target gets nothing", test_draining_target_gets_nothing},
+        {"a new owner stops strangers", test_new_owner_stops_strangers},
+        {"overload is refused at once", test_overload_is_refused_at_once},
+        {"urgent orders go first", test_urgent_goes_first},
+        {"no double under faults", test_no_double_under_faults},
+        CU_TEST_INFO_NULL,
+    };
+    return suite_run("pool", tests);
+}
