--- a/src/node/home.c
+++ b/src/node/home.c
@@ -140,9 +140,10 @@
 static bool
 is_too_late(const node_t *node)
 {
-    return node->stop_ns != 0 &&
-           clock_now_ns() > node_stop_limit_ns(node) -
-                                (int64_t)kJobRoomMs * kNsPerMs;
+    return atomic_load(&node->is_closed) ||
+           (node->stop_ns != 0 &&
+            clock_now_ns() > node_stop_limit_ns(node) -
+                                 (int64_t)kJobRoomMs * kNsPerMs);
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -84,6 +84,7 @@
     }
     bool is_over = now_ns >= node_stop_limit_ns(node);
     if (node->end_ns == 0 && (is_over || is_finished(node, &news, now_ns))) {
+        atomic_store(&node->is_closed, true);
         home_lose_all(node);
         node->end_ns = now_ns + (int64_t)kFlushMs * kNsPerMs;
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,6 +55,7 @@
     queue_table_t *queues;     ///< RCU; NULL before the first configuration
     _Atomic bool is_ready;     ///< for the balancer
     _Atomic bool is_draining;
+    _Atomic bool is_closed; ///< takes no job any more, as it ends
     _Atomic uint32_t job_count; ///< of callers, not settled
     _Atomic int64_t last_job_ns;
     pool_t *pool;
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -61,6 +61,7 @@
                         .accelerators = step->accelerators,
                         .estimate_ms = step->estimate_ms,
                         .started_ns = now_ns,
+                        .token = target->token,
                         .is_start_open = true};
     strncpy(run->name.job, order->job, sizeof run->name.job - 1);
     run->lease_until_ms =
@@ -256,10 +257,13 @@
 {
     (void)now_ns;
     pool_target_t *target = run->target;
+    bool is_current = run->token == target->token;
     counter_add(kCounterTokensFenced, 1);
-    target->is_fenced = true;
-    reject(pool, run, true);
-    pool->ops->fenced(pool->owner, &target->info);
+    reject(pool, run, is_current);
+    if (is_current) {
+        target->is_fenced = true;
+        pool->ops->fenced(pool->owner, &target->info);
+    }
 }
 
 static void
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -23,6 +23,7 @@
     kSlownessLimitPermille = 20000,
     kStallFactor = 3, ///< times the expected run time that a run may take
     kStallSlackMs = 150,
+    kMoveLimit = 4, ///< moves of one task
     kEjectFailures = 2, ///< failed orders in a row
     kEjectMs = 1500,
     kEjectLimitMs = 12000,
@@ -183,6 +184,7 @@
     target->is_list_open = true;
     target->is_list_waiting = renews;
     target->list_sent_ns = now_ns;
+    target->list_token = target->token;
     target->list_due_ns = INT64_MAX;
     target->open_calls++;
     counter_add(kCounterHoldsSent, 1);
@@ -368,6 +370,11 @@
         session_release(pool, target);
         return;
     }
+    if (target->list_token != target->token) {
+        // The session was renewed meanwhile: this answer says nothing of it.
+        target->list_due_ns = now_ns;
+        return;
+    }
     if (reply->kind == kReplyDone) {
         take_answered(pool, target, reply, acked_sent, now_ns);
         return;
@@ -385,26 +392,27 @@
 }
 
 /// Stops a run that takes far longer than expected, as its target may stand
-/// still or be slow, so that its task is tried elsewhere. Each task is moved
-/// once.
+/// still or be slow, so that its task is tried elsewhere. Each move doubles
+/// the time that the next run gets.
 static int64_t
 move_stalled(pool_t *pool, pool_target_t *target, pool_run_t *run,
              int64_t now_ns)
 {
     if (run->is_over || run->task == NULL || run->state != kRunActive ||
-        run->task->is_moved || run->stop_due_ns != 0) {
+        run->task->move_count >= kMoveLimit || run->stop_due_ns != 0) {
         return INT64_MAX;
     }
     int64_t expected_ns =
         place_expected_ns(pool, run->estimate_ms, target);
-    int64_t due_ns = run->started_ns + expected_ns * kStallFactor +
-                     MS_TO_NS(kStallSlackMs);
+    int64_t due_ns = run->started_ns +
+                     (expected_ns * kStallFactor + MS_TO_NS(kStallSlackMs)) *
+                         (1 << run->task->move_count);
     if (due_ns > now_ns) {
         return due_ns;
     }
     pool->ops->note(pool->owner, "run_stalled", run->name.job,
                     target->info.id);
-    run->task->is_moved = true;
+    run->task->move_count++;
     session_note_failure(target, run, now_ns);
     run_stop(pool, run, now_ns);
     return INT64_MAX;
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -22,7 +22,7 @@
     pool_task_state_t state;
     uint32_t run_number;   ///< of the last start
     uint32_t failed_count; ///< runs that ended failed
-    bool is_moved;         ///< stopped once, as it took too long
+    uint32_t move_count;   ///< runs stopped, as they took too long
     char avoid[kPoolNameBytes]; ///< target of the last run that went wrong
     pool_run_t *run;
 } pool_task_t;
@@ -64,6 +64,7 @@
     uint32_t accelerators;
     uint32_t estimate_ms;
     uint64_t lease_until_ms; ///< of its start, on the target's clock
+    uint64_t token;          ///< that its start carried
     int64_t started_ns;
     int64_t stop_due_ns; ///< when to send the next stop; 0: not stopping
     bool is_start_open;
@@ -93,6 +94,7 @@
     bool is_list_waiting; ///< the open list waits for an end
     bool list_renews;     ///< the open list carries a lease
     int64_t list_sent_ns;
+    uint64_t list_token; ///< that the open list carries
     int64_t list_due_ns; ///< when to send the next list; INT64_MAX: never
     uint64_t acked;      ///< number of the last end that was taken note of
     uint64_t acked_sent; ///< highest number that an answered list carried
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -1,5 +1,7 @@
 #include "standins/runners.h"
 
+#include <apr_hash.h>
+#include <apr_strings.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -61,6 +63,8 @@
     runner_t *runners;
     uint32_t count;
     runners_ledger_t ledger;
+    arena_t *arena;
+    apr_hash_t *jobs; ///< runners_job_t by name
     loop_timer_t tick;
     loop_timer_t beat;
 };
@@ -150,6 +154,27 @@
     json_object_put(list);
 }
 
+/// @return what is known of a task's job
+static runners_job_t *
+find_job(runners_t *runners, const char *task)
+{
+    const char *name =
+        apr_pstrmemdup(runners->arena, task, strcspn(task, "."));
+    runners_job_t *job =
+        apr_hash_get(runners->jobs, name, APR_HASH_KEY_STRING);
+    if (job == NULL) {
+        job = apr_pcalloc(runners->arena, sizeof *job);
+        apr_hash_set(runners->jobs, name, APR_HASH_KEY_STRING, job);
+    }
+    return job;
+}
+
+runners_job_t
+runners_job(runners_t *runners, const char *job)
+{
+    return *find_job(runners, job);
+}
+
 static void
 end_run(runner_t *runner, uint32_t at, const char *how)
 {
@@ -180,6 +205,7 @@
             bool is_good = !is_mode(runner, "failing");
             ledger->done += is_good;
             ledger->failed += !is_good;
+            find_job(runner->all, run->task)->done += is_good;
             end_run(runner, i, is_good ? "done" : "failed");
         }
         else if (runner->lease_ns <= now_ns) {
@@ -277,6 +303,7 @@
     }
     extend(runner, body);
     ledger->starts++;
+    find_job(runner->all, task)->starts++;
     ledger->doubles += runs_elsewhere(runner, task);
     ledger->drained +=
         is_mode(runner, "draining") &&
@@ -446,6 +473,8 @@
 {
     runners_t *runners = calloc(1, sizeof *runners);
     runners->loop = loop;
+    runners->arena = arena_create();
+    runners->jobs = apr_hash_make(runners->arena);
     runners->store = store;
     runners->runners = calloc(count, sizeof *runners->runners);
     for (uint32_t i = 0; i < count; i++) {
--- a/tests/standins/runners.h
+++ b/tests/standins/runners.h
@@ -30,6 +30,14 @@
 /// orders out and answers none), draining, or again (a new life).
 bool runners_set(runners_t *runners, uint32_t number, const char *mode);
 
+/// What was seen of one job.
+typedef struct {
+    uint64_t starts;
+    uint64_t done;
+} runners_job_t;
+
+runners_job_t runners_job(runners_t *runners, const char *job);
+
 const runners_ledger_t *runners_ledger(runners_t *runners);
 
 #endif
--- a/tests/support/caller.c
+++ b/tests/support/caller.c
@@ -91,6 +91,7 @@
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&request);
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         request->status = code == CURLE_OK ? (uint32_t)status : 0;
+        request->is_unreachable = code == CURLE_COULDNT_CONNECT;
         curl_multi_remove_handle(multi, easy);
         curl_easy_cleanup(easy);
         curl_slist_free_all(request->headers);
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -16,6 +16,7 @@
     const char *host; ///< header line "Host: ..."; NULL for the address
     uint32_t limit_ms; ///< longest wait; 0 for the usual one
     uint32_t status;  ///< 0 where no whole answer came
+    bool is_unreachable; ///< no connection was made
     char *reply;      ///< freed by caller_free
     uint32_t reply_bytes;
     bool is_not_run;
--- a/tests/support/nodes.h
+++ b/tests/support/nodes.h
@@ -53,6 +53,9 @@
 /// @return a number of the runners' ledger
 uint64_t fleet_ledger(fleet_t *fleet, const char *key);
 
+/// @return a number that the runners' ledger has of one job
+uint64_t fleet_job_ledger(fleet_t *fleet, uint64_t id, const char *key);
+
 /// Fills in a job of equal tasks for a node.
 void fleet_fill_job(fleet_t *fleet, uint32_t node, uint64_t id,
                     uint32_t task_count, uint32_t task_ms,
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -224,6 +224,22 @@
     world_clear(&world);
 }
 
+static void
+test_rejection_of_old_token_is_ignored(void)
+{
+    open_world(1, 1);
+    world_own(&world, 1, 6);
+    pass_ms(20);
+    world_order(&world, 0, "a1", 2, 100, 0);
+    // The start is rejected; before the answer comes, the pool gets a token
+    // that is higher than the other owner's.
+    world_run_until(&world, world.now_ns + MS(1) - 200000);
+    world_own(&world, 0, 7);
+    pass_ms(500);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    world_clear(&world);
+}
+
 static void
 test_overload_is_refused_at_once(void)
 {
@@ -370,6 +386,8 @@
         {"a new life runs again", test_new_life_runs_again},
         {"a draining target gets nothing", test_draining_target_gets_nothing},
         {"a new owner stops strangers", test_new_owner_stops_strangers},
+        {"a rejection of an old token is ignored",
+         test_rejection_of_old_token_is_ignored},
         {"overload is refused at once", test_overload_is_refused_at_once},
         {"urgent orders go first", test_urgent_goes_first},
         {"no double under faults", test_no_double_under_faults},
