feat(node): lease and silence fit into the resubmit time; ownership model

A home that dies without a sign while its owner goes on for the longest silence and then dies too left runs under lease for 650 + 1,030 ms, longer than the 1,300 ms after which callers submit again. Now 50% and 40% of that time. The model (12.2 million states) holds; without the lapse, the silence, the pause or the start's deadline, or with an early repeat, it fails.

--- a/model/check.sh
+++ b/model/check.sh
@@ -61,6 +61,11 @@
 for mutant in M_BASE M_GAP M_OLDER_PEER; do
     caught config config.pml $mutant
 done
+holds owner owner.pml
+for mutant in M_NO_LAPSE M_EARLY_RESUBMIT M_NO_START_DEADLINE M_NO_SILENCE \
+    M_NO_PAUSE; do
+    caught owner owner.pml $mutant
+done
 holds job job.pml
 caught job job.pml M_RETRY_UNKNOWN
 [ "$failures" = 0 ] || exit 1
--- a/src/codec/json.c
+++ b/src/codec/json.c
@@ -402,8 +402,7 @@
             for (uint32_t j = 0; j < count; j++) {
                 json_object_array_add(
                     value,
-                    build_value(field,
-                                items + (size_t)j * field->item_bytes));
+                    build_value(field, items + (size_t)j * field->item_bytes));
             }
         }
         else {
--- a/src/codec/pack.c
+++ b/src/codec/pack.c
@@ -69,8 +69,7 @@
         const uint8_t *items = *(const uint8_t *const *)at;
         msgpack_pack_array(packer, count);
         for (uint32_t j = 0; j < count; j++) {
-            write_value(packer, field,
-                        items + (size_t)j * field->item_bytes);
+            write_value(packer, field, items + (size_t)j * field->item_bytes);
         }
     }
 }
--- a/src/node/guests.c
+++ b/src/node/guests.c
@@ -107,9 +107,8 @@
 {
     node_t *node = owner;
     guest_t *guest = calloc(1, sizeof *guest);
-    *guest = (guest_t){.next = node->guests,
-                       .node = node,
-                       .number = ++node->guest_number};
+    *guest = (guest_t){
+        .next = node->guests, .node = node, .number = ++node->guest_number};
     if (node->guests != NULL) {
         node->guests->prev = guest;
     }
--- a/src/node/home.c
+++ b/src/node/home.c
@@ -9,13 +9,13 @@
 #include "shell/log.h"
 
 enum {
-    kOwnerLookMs = 30,     ///< between two looks for an owner
-    kHoldPercent = 25,     ///< of its objective that a job may wait for an owner
-    kSilencePercent = 50,      ///< of resubmit_ms: the longest silence of a link
-    kAnswerGraceMs = 300,      ///< beyond the caller's deadline
-    kNoOwnerRetryMs = 1000,    ///< told to callers while no owner is known
-    kDrainRetryMs = 1000,      ///< told to callers of a stopping node
-    kJobRoomMs = 2000          ///< that a new job of a stopping node needs
+    kOwnerLookMs = 30, ///< between two looks for an owner
+    kHoldPercent = 25, ///< of its objective that a job may wait for an owner
+    kSilencePercent = 40,   ///< of resubmit_ms: the longest silence of a link
+    kAnswerGraceMs = 300,   ///< beyond the caller's deadline
+    kNoOwnerRetryMs = 1000, ///< told to callers while no owner is known
+    kDrainRetryMs = 1000,   ///< told to callers of a stopping node
+    kJobRoomMs = 2000       ///< that a new job of a stopping node needs
 };
 
 int64_t
@@ -142,8 +142,8 @@
 {
     return atomic_load(&node->is_closed) ||
            (node->stop_ns != 0 &&
-            clock_now_ns() > node_stop_limit_ns(node) -
-                                 (int64_t)kJobRoomMs * kNsPerMs);
+            clock_now_ns() >
+                node_stop_limit_ns(node) - (int64_t)kJobRoomMs * kNsPerMs);
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -14,13 +14,13 @@
 #include "shell/log.h"
 
 enum {
-    kBeatMs = 100,      ///< between two looks at the clock
-    kListenMs = 2500,   ///< that a stopping node still takes requests: the
-                        ///< balancer misses two checks, one a second
-    kQuietMs = 300,     ///< without a request, after which it may end
-    kLastCallMs = 600,  ///< before the kill, by when it must end
-    kFlushMs = 100,     ///< for the last answers to go out
-    kPauseMs = 600      ///< gap of the loop that counts as a pause
+    kBeatMs = 100,     ///< between two looks at the clock
+    kListenMs = 2500,  ///< that a stopping node still takes requests: the
+                       ///< balancer misses two checks, one a second
+    kQuietMs = 300,    ///< without a request, after which it may end
+    kLastCallMs = 600, ///< before the kill, by when it must end
+    kFlushMs = 100,    ///< for the last answers to go out
+    kPauseMs = 450     ///< gap of the loop that counts as a pause
 };
 
 /// Gives up what others no longer count on after a pause of this process.
@@ -226,9 +226,7 @@
         return;
     }
     node->settings = settings;
-    const pool_limits_t limits = {.lease_ms = settings->hold_limit_ms,
-                                  .stop_grace_ms = settings->stop_grace_ms,
-                                  .remote_permille = settings->remote_factor};
+    const pool_limits_t limits = owner_limits(settings);
     pool_set_limits(node->pool, &limits);
     log_event("settings_taken", "hold_limit_ms=%u resubmit_ms=%u",
               settings->hold_limit_ms, settings->resubmit_ms);
@@ -294,8 +292,8 @@
                            json_object_new_string(node->settings->name));
     json_object_object_add(
         state, "config_version",
-        json_object_new_uint64(
-            node->queues == NULL ? 0 : node->queues->version));
+        json_object_new_uint64(node->queues == NULL ? 0
+                                                    : node->queues->version));
     json_object_object_add(
         state, "jobs", json_object_new_uint64(atomic_load(&node->job_count)));
     json_object_object_add(state, "orders",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,13 +55,14 @@
     queue_table_t *queues;     ///< RCU; NULL before the first configuration
     _Atomic bool is_ready;     ///< for the balancer
     _Atomic bool is_draining;
-    _Atomic bool is_closed; ///< takes no job any more, as it ends
+    _Atomic bool is_closed;     ///< takes no job any more, as it ends
     _Atomic uint32_t job_count; ///< of callers, not settled
     _Atomic int64_t last_job_ns;
     pool_t *pool;
     dc_pool_t *dcs;
     uint32_t dc_count;
-    apr_hash_t *targets; ///< known_target_t by id
+    struct known_target *known; ///< targets that the platform lists
+    apr_hash_t *targets;        ///< the same by id
     members_t members;
     bool has_members; ///< they were listed once
     member_t *self;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -9,18 +9,22 @@
 #include "shell/log.h"
 
 enum {
-    kJoinMs = 350,           ///< between two joins; the least time to live is
-                             ///< about three times that
-    kJoinRetryMs = 150,      ///< after a join without an answer
+    kJoinMs = 350,            ///< between two joins; the least time to live is
+                              ///< about three times that
+    kJoinRetryMs = 150,       ///< after a join without an answer
     kJoinRetryLimitMs = 1000, ///< where many had none
-    kLeavingLimitMs = 2500,   ///< for the runs of leaving cells to end
-    kLeavingLookMs = 40,      ///< between two looks at them
-    kProbeMs = 500,           ///< between two probes of a data centre
-    kProbeLifeMs = 1000       ///< that an answer to a probe counts for
+    kLeasePercent = 50,     ///< of resubmit_ms: with the longest silence of a
+                            ///< link, less than the whole of it
+    kLeavingLimitMs = 2500, ///< for the runs of leaving cells to end
+    kLeavingLookMs = 40,    ///< between two looks at them
+    kProbeMs = 500,         ///< between two probes of a data centre
+    kProbeLifeMs = 1000     ///< that an answer to a probe counts for
 };
 
 /// A target that the platform lists.
-typedef struct {
+typedef struct known_target {
+    struct known_target *next;
+    struct known_target *prev;
     pool_target_info_t info;
     dc_pool_t *pool;
 } known_target_t;
@@ -56,15 +60,39 @@
 static void
 place_targets(node_t *node, const dc_pool_t *pool, int64_t now_ns)
 {
-    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
-         at != NULL; at = apr_hash_next(at)) {
-        const known_target_t *known = apr_hash_this_val(at);
+    for (const known_target_t *known = node->known; known != NULL;
+         known = known->next) {
         if (known->pool == pool) {
             place_target(node, known, now_ns);
         }
     }
 }
 
+static known_target_t *
+add_known(node_t *node, const pool_target_info_t *info)
+{
+    known_target_t *known = calloc(1, sizeof *known);
+    known->info = *info;
+    known->next = node->known;
+    if (node->known != NULL) {
+        node->known->prev = known;
+    }
+    node->known = known;
+    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, known);
+    return known;
+}
+
+static void
+remove_known(node_t *node, known_target_t *known)
+{
+    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, NULL);
+    *(known->prev == NULL ? &node->known : &known->prev->next) = known->next;
+    if (known->next != NULL) {
+        known->next->prev = known->prev;
+    }
+    free(known);
+}
+
 void
 node_take_target(node_t *node, const pool_target_info_t *info)
 {
@@ -77,10 +105,7 @@
     known_target_t *known =
         apr_hash_get(node->targets, info->id, APR_HASH_KEY_STRING);
     if (known == NULL) {
-        known = calloc(1, sizeof *known);
-        known->info = *info;
-        apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING,
-                     known);
+        known = add_known(node, info);
         pool->target_count++;
     }
     else if (known->info.is_draining != info->is_draining) {
@@ -103,9 +128,8 @@
     }
     log_event("target_gone", "id=%s", id);
     known->pool->target_count--;
-    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, NULL);
     pool_drop_target(node->pool, id, node_now_ns(node));
-    free(known);
+    remove_known(node, known);
     node_kick(node);
 }
 
@@ -153,9 +177,9 @@
         pool->join_failures++;
         int64_t wait_ms = (int64_t)kJoinRetryMs * pool->join_failures;
         pool->join_due_ns =
-            now_ns + (int64_t)kNsPerMs * (wait_ms < kJoinRetryLimitMs
-                                              ? wait_ms
-                                              : kJoinRetryLimitMs);
+            now_ns +
+            (int64_t)kNsPerMs *
+                (wait_ms < kJoinRetryLimitMs ? wait_ms : kJoinRetryLimitMs);
         node_kick(node);
         return;
     }
@@ -194,12 +218,11 @@
     if (pool->leaving_since_ns == 0) {
         pool->leaving_since_ns = now_ns;
     }
-    bool is_over = now_ns - pool->leaving_since_ns >=
-                   (int64_t)kLeavingLimitMs * kNsPerMs;
+    bool is_over =
+        now_ns - pool->leaving_since_ns >= (int64_t)kLeavingLimitMs * kNsPerMs;
     bool *is_busy = calloc(cells->count, sizeof *is_busy);
-    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
-         at != NULL; at = apr_hash_next(at)) {
-        const known_target_t *known = apr_hash_this_val(at);
+    for (const known_target_t *known = node->known; known != NULL;
+         known = known->next) {
         if (known->pool == pool) {
             is_busy[cells_find(cells, known->info.id)] |=
                 pool_target_runs(node->pool, known->info.id) > 0;
@@ -232,9 +255,8 @@
         return false;
     }
     pool->probe_due_ns = now_ns + (int64_t)kProbeMs * kNsPerMs;
-    for (apr_hash_index_t *at = apr_hash_first(NULL, node->targets);
-         at != NULL; at = apr_hash_next(at)) {
-        const known_target_t *known = apr_hash_this_val(at);
+    for (const known_target_t *known = node->known; known != NULL;
+         known = known->next) {
         if (known->pool == pool && !known->info.is_draining) {
             node->adapter_ops->probe(node->adapter, &known->info);
             return false;
@@ -446,18 +468,26 @@
                                     .fenced = take_fenced,
                                     .note = note};
 
+pool_limits_t
+owner_limits(const node_settings_t *settings)
+{
+    uint32_t lease_ms = settings->resubmit_ms * kLeasePercent / 100;
+    return (pool_limits_t){.lease_ms = lease_ms < settings->hold_limit_ms
+                                           ? lease_ms
+                                           : settings->hold_limit_ms,
+                           .stop_grace_ms = settings->stop_grace_ms,
+                           .remote_permille = settings->remote_factor};
+}
+
 void
 owner_init(node_t *node)
 {
     const node_settings_t *settings = node->settings;
-    const pool_limits_t limits = {.lease_ms = settings->hold_limit_ms,
-                                  .stop_grace_ms = settings->stop_grace_ms,
-                                  .remote_permille = settings->remote_factor};
+    const pool_limits_t limits = owner_limits(settings);
     node->pool = pool_create(&limits, &pool_ops, node);
     node->targets = apr_hash_make(node->arena);
     node->dc_count = settings->dcs_count;
-    node->dcs =
-        apr_pcalloc(node->arena, node->dc_count * sizeof *node->dcs);
+    node->dcs = apr_pcalloc(node->arena, node->dc_count * sizeof *node->dcs);
     for (uint32_t i = 0; i < node->dc_count; i++) {
         node->dcs[i].dc = settings->dcs[i];
         cells_init(&node->dcs[i].cells, settings->cell_count);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -4,6 +4,11 @@
 
 #include "node/node.h"
 
+/// @return the limits of the pool under these settings. A caller whose home
+///         is lost submits again after resubmit_ms; by then the home's owner
+///         has noticed the silence, or its last lease is over.
+pool_limits_t owner_limits(const node_settings_t *settings);
+
 /// Creates the pool and the tables of the data centres.
 void owner_init(node_t *node);
 
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -9,13 +9,13 @@
 #include "shell/log.h"
 
 enum {
-    kBeatMs = 200,      ///< on a link with orders on their way
+    kBeatMs = 150,      ///< on a link with orders on their way
     kIdleBeatMs = 1000, ///< on any other link
     kIdleSilenceMs = 2500,
     kReconnectMs = 300,
     kReconnectLimitMs = 3000,
-    kDoubtMs = 450,     ///< of silence, after which new jobs go elsewhere
-    kNewsLifeMs = 1000, ///< after which news of a pool says nothing
+    kDoubtMs = 350,      ///< of silence, after which new jobs go elsewhere
+    kNewsLifeMs = 1000,  ///< after which news of a pool says nothing
     kFullPenaltyMs = 40, ///< for a pool without room for the whole job
     kFarPenaltyMs = 8    ///< for a pool of another data centre
 };
@@ -205,9 +205,9 @@
 connect_peer(peer_t *peer, int64_t now_ns)
 {
     error_info_t err = {0};
-    peer->conn = conn_connect(peer->node->loop, peer->node->settings->address,
-                              peer->address, peer->port, &conn_ops, peer,
-                              &err);
+    peer->conn =
+        conn_connect(peer->node->loop, peer->node->settings->address,
+                     peer->address, peer->port, &conn_ops, peer, &err);
     if (peer->conn == NULL) {
         log_event("peer_unreachable", "peer=%s reason=\"%s\"", peer->name,
                   err.text);
@@ -229,8 +229,7 @@
         conn_close(peer->conn);
         return peer->connect_due_ns;
     }
-    int64_t period_ns =
-        (int64_t)(is_busy ? kBeatMs : kIdleBeatMs) * kNsPerMs;
+    int64_t period_ns = (int64_t)(is_busy ? kBeatMs : kIdleBeatMs) * kNsPerMs;
     if (peer->is_up && peer->beat_due_ns > now_ns + period_ns) {
         peer->beat_due_ns = now_ns + period_ns;
     }
--- a/src/own/members.c
+++ b/src/own/members.c
@@ -11,7 +11,7 @@
     kSettledMs = 5000  ///< before an owner that is not needed leaves
 };
 
-#define MS_TO_NS(ms) ((int64_t)(ms) * 1000000)
+#define MS_TO_NS(ms) ((int64_t)(ms)*1000000)
 
 static const node_record_t *
 copy_record(const node_record_t *record, arena_t *arena)
@@ -126,8 +126,8 @@
     uint32_t count = 0;
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
-        count += !member->record->is_leaving &&
-                 strcmp(member->record->dc, dc) == 0;
+        count +=
+            !member->record->is_leaving && strcmp(member->record->dc, dc) == 0;
     }
     return count;
 }
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -6,8 +6,8 @@
 #include "pool/state.h"
 
 enum {
-    kLateFactor = 3,         ///< times the objective after which it is worthless
-    kAdmitPercent = 100,     ///< of the objective that a new order may take
+    kLateFactor = 3,     ///< times the objective after which it is worthless
+    kAdmitPercent = 100, ///< of the objective that a new order may take
     kRetryAfterLeastMs = 500 ///< told to callers that are refused
 };
 
@@ -72,10 +72,10 @@
     uint32_t at = 0;
     order->task_count = count_tasks(spec);
     order->waiting_count = order->task_count;
-    order->tasks = apr_pcalloc(order->arena,
-                               order->task_count * sizeof *order->tasks);
-    order->step_left = apr_pcalloc(
-        order->arena, spec->steps_count * sizeof *order->step_left);
+    order->tasks =
+        apr_pcalloc(order->arena, order->task_count * sizeof *order->tasks);
+    order->step_left = apr_pcalloc(order->arena, spec->steps_count *
+                                                     sizeof *order->step_left);
     for (uint32_t i = 0; i < spec->steps_count; i++) {
         order->step_left[i] = spec->steps[i].task_count;
         for (uint32_t j = 0; j < spec->steps[i].task_count; j++) {
@@ -216,8 +216,8 @@
 
 /// Decides whether a new order can still be answered in time.
 static error_kind_t
-judge_admission(const pool_t *pool, const order_t *order,
-                int64_t objective_ns, uint32_t *wait_ms, int64_t now_ns)
+judge_admission(const pool_t *pool, const order_t *order, int64_t objective_ns,
+                uint32_t *wait_ms, int64_t now_ns)
 {
     int64_t wait_ns = place_wait_ns(pool, order, now_ns);
     *wait_ms = (uint32_t)(wait_ns / MS_TO_NS(1) % UINT32_MAX);
@@ -228,8 +228,7 @@
         return place_has_ready(pool) ? kErrorKindNoFit
                                      : kErrorKindNoDispatcher;
     }
-    int64_t work_ns =
-        MS_TO_NS(chain_ms(order)) / 1000 * pool->bias_permille;
+    int64_t work_ns = MS_TO_NS(chain_ms(order)) / 1000 * pool->bias_permille;
     int64_t finish_ns = MS_TO_NS(order->waited_ms) + wait_ns + work_ns;
     return wait_ns == 0 || finish_ns <= objective_ns * kAdmitPercent / 100
                ? kErrorKindOk
@@ -261,14 +260,13 @@
     }
     arena_t *arena = arena_create();
     pool_order_t *added = apr_pcalloc(arena, sizeof *added);
-    *added = (pool_order_t){
-        .arena = arena,
-        .order = copy_order(order, arena),
-        .client = client,
-        .request = request,
-        .received_ns = now_ns - MS_TO_NS(order->waited_ms),
-        .deadline_ns = now_ns + MS_TO_NS(order->left_ms),
-        .objective_ns = objective_ns};
+    *added = (pool_order_t){.arena = arena,
+                            .order = copy_order(order, arena),
+                            .client = client,
+                            .request = request,
+                            .received_ns = now_ns - MS_TO_NS(order->waited_ms),
+                            .deadline_ns = now_ns + MS_TO_NS(order->left_ms),
+                            .objective_ns = objective_ns};
     set_tasks(added);
     link_order(pool, added);
     pool->is_dirty = true;
@@ -304,8 +302,8 @@
 pool_reset(pool_t *pool, int64_t now_ns)
 {
     while (pool->first != NULL) {
-        order_settle(pool, pool->first, kOrderOutcomeLost, kErrorKindTargetLost,
-                     0, now_ns);
+        order_settle(pool, pool->first, kOrderOutcomeLost,
+                     kErrorKindTargetLost, 0, now_ns);
     }
 }
 
@@ -325,10 +323,10 @@
         return order->deadline_ns;
     }
     if (hopeless_ns <= now_ns) {
-        order_settle(pool, order, kOrderOutcomeRefused, kErrorKindOverload,
-                     retry_after_ms(
-                         place_backlog_ms(pool, order->order->priority)),
-                     now_ns);
+        order_settle(
+            pool, order, kOrderOutcomeRefused, kErrorKindOverload,
+            retry_after_ms(place_backlog_ms(pool, order->order->priority)),
+            now_ns);
         return INT64_MAX;
     }
     return hopeless_ns < order->deadline_ns ? hopeless_ns : order->deadline_ns;
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -5,11 +5,12 @@
 #include "pool/state.h"
 
 enum {
-    kAcceptPercent = 95, ///< of the objective that a run may be expected to take
+    kAcceptPercent =
+        95, ///< of the objective that a run may be expected to take
     kAvoidPenaltyPermille = 3000, ///< for the target of the last bad run
     kDoubtPenaltyPermille = 1300, ///< after a failure that may be the order's
-    kLeastLeftMs = 10,      ///< of a run that is over its expected time
-    kFitWeightPermille = 50 ///< of room left over, against the run time
+    kLeastLeftMs = 10,            ///< of a run that is over its expected time
+    kFitWeightPermille = 50       ///< of room left over, against the run time
 };
 
 /// Room of a target that no run occupies.
@@ -88,9 +89,8 @@
 /// What a placement of a task is expected to take, with penalties that only
 /// order the choice.
 static int64_t
-score_ns(const pool_t *pool, const pool_task_t *task,
-         const order_step_t *step, const pool_target_t *target,
-         const room_t *room, int64_t *expected_ns)
+score_ns(const pool_t *pool, const pool_task_t *task, const order_step_t *step,
+         const pool_target_t *target, const room_t *room, int64_t *expected_ns)
 {
     int64_t time_ns = place_expected_ns(pool, step->estimate_ms, target);
     if (step->data_rack[0] != '\0' &&
@@ -152,9 +152,8 @@
 static bool
 should_wait(const pool_order_t *order, const choice_t *choice, int64_t now_ns)
 {
-    int64_t left_ns =
-        (order->received_ns + order->objective_ns - now_ns) / 100 *
-        kAcceptPercent;
+    int64_t left_ns = (order->received_ns + order->objective_ns - now_ns) /
+                      100 * kAcceptPercent;
     return choice->expected_ns > left_ns && choice->fastest_ns <= left_ns;
 }
 
@@ -271,12 +270,12 @@
         if (run->is_over) {
             continue;
         }
-        int64_t left_ns =
-            run->started_ns +
-            place_expected_ns(pool, run->estimate_ms, target) - now_ns;
-        line->ends_ns[line->end_count++] =
-            left_ns > MS_TO_NS(kLeastLeftMs) ? left_ns
-                                             : MS_TO_NS(kLeastLeftMs);
+        int64_t left_ns = run->started_ns +
+                          place_expected_ns(pool, run->estimate_ms, target) -
+                          now_ns;
+        line->ends_ns[line->end_count++] = left_ns > MS_TO_NS(kLeastLeftMs)
+                                               ? left_ns
+                                               : MS_TO_NS(kLeastLeftMs);
     }
 }
 
@@ -291,8 +290,7 @@
         }
         room_t room = read_room(target);
         if (room.cpu_mcores > 0 && step->cpu_mcores > 0) {
-            line->free_count +=
-                (uint64_t)room.cpu_mcores / step->cpu_mcores;
+            line->free_count += (uint64_t)room.cpu_mcores / step->cpu_mcores;
         }
         read_ends(pool, target, line, now_ns);
     }
@@ -332,8 +330,7 @@
     read_line(pool, order, step, &line, now_ns);
     qsort(line.ends_ns, line.end_count, sizeof *line.ends_ns, compare_ns);
     bool can_begin = line.ahead_count < line.free_count;
-    int64_t wait_ns =
-        can_begin ? 0 : guess_wait_ns(&line, step->task_count);
+    int64_t wait_ns = can_begin ? 0 : guess_wait_ns(&line, step->task_count);
     free(line.ends_ns);
     return wait_ns;
 }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -9,11 +9,16 @@
 enum { kLineBytes = 320, kUsualPermille = 1000 };
 
 const char *const reply_kind_names[] = {
-    [kReplyDone] = "done",           [kReplyNotSent] = "not_sent",
-    [kReplyUnanswered] = "unanswered", [kReplyFenced] = "fenced",
-    [kReplyNoRoom] = "no_room",      [kReplyStale] = "stale",
-    [kReplyLate] = "late",           [kReplyOtherLife] = "other_life",
-    [kReplyUnhealthy] = "unhealthy", [kReplyInvalid] = "invalid",
+    [kReplyDone] = "done",
+    [kReplyNotSent] = "not_sent",
+    [kReplyUnanswered] = "unanswered",
+    [kReplyFenced] = "fenced",
+    [kReplyNoRoom] = "no_room",
+    [kReplyStale] = "stale",
+    [kReplyLate] = "late",
+    [kReplyOtherLife] = "other_life",
+    [kReplyUnhealthy] = "unhealthy",
+    [kReplyInvalid] = "invalid",
 };
 
 pool_t *
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -7,14 +7,15 @@
 #include "pool/state.h"
 
 enum {
-    kWaitSharePercent = 20, ///< of the lease that a list waits for an end; the
-                            ///< news of an end is that late when a list is lost
-    kListSlackMs = 150,     ///< for the answer, beyond the wait
-    kNewSlackMs = 350,      ///< for the answer of a target that is not known
-    kMuteCalls = 2,         ///< calls in a row without an answer
+    kWaitSharePercent =
+        30,               ///< of the lease that a list waits for an end; the
+                          ///< news of an end is that late when a list is lost
+    kListSlackMs = 150,   ///< for the answer, beyond the wait
+    kNewSlackMs = 350,    ///< for the answer of a target that is not known
+    kMuteCalls = 2,       ///< calls in a row without an answer
     kStrangerLookMs = 25, ///< between two lists while runs of others stop
-    kLastAckMs = 60,          ///< from the last end to the list that notes it
-    kMuteRepeatMs = 300,      ///< between two looks at a mute target
+    kLastAckMs = 60,      ///< from the last end to the list that notes it
+    kMuteRepeatMs = 300,  ///< between two looks at a mute target
     kMuteRepeatLimitMs = 2000,
     kClockDriftPercent = 3,   ///< clocks of targets may be 2% off
     kLapseSlackMs = 20,       ///< for the start of what came just in time
@@ -23,7 +24,7 @@
     kSlownessLimitPermille = 20000,
     kStallFactor = 3, ///< times the expected run time that a run may take
     kStallSlackMs = 150,
-    kMoveLimit = 4, ///< moves of one task
+    kMoveLimit = 4,     ///< moves of one task
     kEjectFailures = 2, ///< failed orders in a row
     kEjectMs = 1500,
     kEjectLimitMs = 12000,
@@ -32,7 +33,7 @@
 
 uint64_t
 session_lease_until_ms(const pool_target_t *target,
-                      const pool_limits_t *limits, int64_t now_ns)
+                       const pool_limits_t *limits, int64_t now_ns)
 {
     int64_t since_ns = now_ns - target->clock_ns;
     return target->clock_ms + (uint64_t)(since_ns / MS_TO_NS(1)) +
@@ -41,7 +42,7 @@
 
 void
 session_note_lease(pool_target_t *target, const pool_limits_t *limits,
-                  int64_t now_ns)
+                   int64_t now_ns)
 {
     int64_t error_ns = target->clock_error_ns + MS_TO_NS(kLapseSlackMs) +
                        (now_ns - target->clock_ns) * kClockDriftPercent / 100;
@@ -86,8 +87,7 @@
 session_note_silence(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
     target->mute_count++;
-    if (target->mute_count >= kMuteCalls ||
-        target->session != kSessionReady) {
+    if (target->mute_count >= kMuteCalls || target->session != kSessionReady) {
         session_go_mute(pool, target, now_ns);
     }
     else if (!target->is_list_open) {
@@ -110,7 +110,7 @@
 
 void
 session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
-             int64_t now_ns)
+              int64_t now_ns)
 {
     target->fail_count = 0;
     target->eject_count = 0;
@@ -138,7 +138,7 @@
 
 void
 session_note_failure(pool_target_t *target, const pool_run_t *run,
-                    int64_t now_ns)
+                     int64_t now_ns)
 {
     if (strcmp(target->fail_job, run->name.job) == 0) {
         return;
@@ -167,15 +167,15 @@
     bool renews = target->run_count > 0 && target->session == kSessionReady;
     uint32_t wait_ms =
         renews ? pool->limits.lease_ms * kWaitSharePercent / 100 : 0;
-    list_call_t call = {
-        .target = &target->info,
-        .token = target->token,
-        .acked = target->acked,
-        .wait_ms = wait_ms,
-        .needs_fresh = target->session == kSessionMute,
-        .deadline_ns = now_ns + MS_TO_NS(renews ? wait_ms + kListSlackMs
-                                                : (uint32_t)kNewSlackMs),
-        .list = target};
+    list_call_t call = {.target = &target->info,
+                        .token = target->token,
+                        .acked = target->acked,
+                        .wait_ms = wait_ms,
+                        .needs_fresh = target->session == kSessionMute,
+                        .deadline_ns =
+                            now_ns + MS_TO_NS(renews ? wait_ms + kListSlackMs
+                                                     : (uint32_t)kNewSlackMs),
+                        .list = target};
     if (renews) {
         call.lease_until_ms =
             session_lease_until_ms(target, &pool->limits, now_ns);
@@ -265,10 +265,10 @@
     pool_run_t *next;
     for (pool_run_t *run = target->runs; run != NULL; run = next) {
         next = run->next;
-        bool was_there = run->state == kRunActive &&
-                         run->started_ns < target->list_sent_ns;
-        bool is_too_late = run->state == kRunUnsure &&
-                           reply->clock_ms > run->lease_until_ms;
+        bool was_there =
+            run->state == kRunActive && run->started_ns < target->list_sent_ns;
+        bool is_too_late =
+            run->state == kRunUnsure && reply->clock_ms > run->lease_until_ms;
         if (!run->is_over && !run->is_start_open &&
             (was_there || is_too_late) && !is_listed(reply, &run->name)) {
             run_end(pool, run, kRunEndLapsed, now_ns);
@@ -329,10 +329,10 @@
         take_new_life(pool, target, reply->born_ms);
         acked_sent = 0;
     }
-    int64_t wait_ns = target->is_list_waiting
-                          ? MS_TO_NS(pool->limits.lease_ms) *
-                                kWaitSharePercent / 100
-                          : 0;
+    int64_t wait_ns =
+        target->is_list_waiting
+            ? MS_TO_NS(pool->limits.lease_ms) * kWaitSharePercent / 100
+            : 0;
     take_clock(target, reply->clock_ms, target->list_sent_ns, wait_ns, now_ns);
     target->acked_sent = acked_sent;
     bool was_new = target->session != kSessionReady;
@@ -402,8 +402,7 @@
         run->task->move_count >= kMoveLimit || run->stop_due_ns != 0) {
         return INT64_MAX;
     }
-    int64_t expected_ns =
-        place_expected_ns(pool, run->estimate_ms, target);
+    int64_t expected_ns = place_expected_ns(pool, run->estimate_ms, target);
     int64_t due_ns = run->started_ns +
                      (expected_ns * kStallFactor + MS_TO_NS(kStallSlackMs)) *
                          (1 << run->task->move_count);
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -8,7 +8,7 @@
 #include "base/arena.h"
 #include "pool/pool.h"
 
-#define MS_TO_NS(ms) ((int64_t)(ms) * 1000000)
+#define MS_TO_NS(ms) ((int64_t)(ms)*1000000)
 
 typedef struct pool_order pool_order_t;
 
@@ -20,9 +20,9 @@
     uint32_t step;
     uint32_t index; ///< within the step
     pool_task_state_t state;
-    uint32_t run_number;   ///< of the last start
-    uint32_t failed_count; ///< runs that ended failed
-    uint32_t move_count;   ///< runs stopped, as they took too long
+    uint32_t run_number;        ///< of the last start
+    uint32_t failed_count;      ///< runs that ended failed
+    uint32_t move_count;        ///< runs stopped, as they took too long
     char avoid[kPoolNameBytes]; ///< target of the last run that went wrong
     pool_run_t *run;
 } pool_task_t;
@@ -94,18 +94,18 @@
     bool is_list_waiting; ///< the open list waits for an end
     bool list_renews;     ///< the open list carries a lease
     int64_t list_sent_ns;
-    uint64_t list_token; ///< that the open list carries
-    int64_t list_due_ns; ///< when to send the next list; INT64_MAX: never
-    uint64_t acked;      ///< number of the last end that was taken note of
-    uint64_t acked_sent; ///< highest number that an answered list carried
-    uint64_t clock_ms;   ///< last reading of its clock
-    int64_t clock_ns;    ///< when that reading came
+    uint64_t list_token;    ///< that the open list carries
+    int64_t list_due_ns;    ///< when to send the next list; INT64_MAX: never
+    uint64_t acked;         ///< number of the last end that was taken note of
+    uint64_t acked_sent;    ///< highest number that an answered list carried
+    uint64_t clock_ms;      ///< last reading of its clock
+    int64_t clock_ns;       ///< when that reading came
     int64_t clock_error_ns; ///< round trip of that reading
     int64_t lapse_ns;       ///< when its last lease is surely over
     uint32_t mute_count;    ///< calls in a row without an answer
     uint32_t slowness_permille; ///< run time against the expected one
     uint32_t sample_count;
-    uint32_t fail_count;   ///< failed orders in a row, each counted once
+    uint32_t fail_count; ///< failed orders in a row, each counted once
     char fail_job[kPoolNameBytes];
     int64_t eject_until_ns;
     uint32_t eject_count;
@@ -116,7 +116,7 @@
     const pool_ops_t *ops;
     void *owner;
     arena_t *arena;
-    apr_hash_t *targets; ///< by id
+    apr_hash_t *targets;         ///< by id
     pool_target_t *first_target; ///< in the order in which they came
     pool_target_t *last_target;
     pool_order_t *first;
@@ -130,19 +130,18 @@
 
 /// sessions.c
 uint64_t session_lease_until_ms(const pool_target_t *target,
-                               const pool_limits_t *limits, int64_t now_ns);
+                                const pool_limits_t *limits, int64_t now_ns);
 void session_note_lease(pool_target_t *target, const pool_limits_t *limits,
-                       int64_t now_ns);
+                        int64_t now_ns);
 bool session_is_open(const pool_target_t *target, int64_t now_ns);
 void session_release(pool_t *pool, pool_target_t *target);
 int64_t session_advance(pool_t *pool, pool_target_t *target, int64_t now_ns);
-void session_note_silence(pool_t *pool, pool_target_t *target,
-                          int64_t now_ns);
+void session_note_silence(pool_t *pool, pool_target_t *target, int64_t now_ns);
 void session_go_mute(pool_t *pool, pool_target_t *target, int64_t now_ns);
 void session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
-                  int64_t now_ns);
+                   int64_t now_ns);
 void session_note_failure(pool_target_t *target, const pool_run_t *run,
-                         int64_t now_ns);
+                          int64_t now_ns);
 
 /// runs.c
 pool_run_t *run_create(pool_t *pool, pool_target_t *target, pool_task_t *task,
--- a/src/shell/app.c
+++ b/src/shell/app.c
@@ -20,7 +20,7 @@
 static const char *settings_path; ///< of the file that was read
 
 /// Names the settings file where the command line does not.
-static const char kSettingsVariable[] = "JAYTRESTLE_SETTINGS";
+static const char settings_variable[] = "JAYTRESTLE_SETTINGS";
 
 const char *argp_program_version = "jaytrestle 0.1.0";
 
@@ -103,8 +103,11 @@
 {
     const struct argp argp = {
         .options = option_table, .parser = parse_option, .doc = app->doc};
-    options_t options = {.settings_path = getenv(kSettingsVariable)};
+    options_t options = {.settings_path = getenv(settings_variable)};
     error_info_t err = {0};
+    // First of all: a signal may come as soon as the process is there.
+    apr_setup_signal_thread();
+    apr_signal(SIGPIPE, SIG_IGN);
     argp_err_exit_status = kExitUsage;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     log_open(app->name);
@@ -123,8 +126,6 @@
         fprintf(stderr, "%s: a library cannot start\n", app->name);
         exit(kExitFailure);
     }
-    apr_signal(SIGPIPE, SIG_IGN);
-    apr_setup_signal_thread();
 }
 
 static void (*hangup_hook)(void *owner);
--- a/src/shell/log.c
+++ b/src/shell/log.c
@@ -13,9 +13,9 @@
 #include "shell/clock.h"
 
 enum {
-    kLineBytes = 1024,   ///< a line is written whole or not at all
-    kLinesPerS = 500,    ///< a busy node logs about 100 lines a second
-    kBurstLines = 2000,  ///< after a quiet time
+    kLineBytes = 1024,  ///< a line is written whole or not at all
+    kLinesPerS = 500,   ///< a busy node logs about 100 lines a second
+    kBurstLines = 2000, ///< after a quiet time
     kLineCostNs = 1000000000 / kLinesPerS
 };
 
@@ -73,8 +73,8 @@
         now.tm_min, now.tm_sec, now.tm_usec / 1000, log_program, event);
     va_list args;
     va_start(args, format);
-    int32_t pairs = vsnprintf(line + used, sizeof line - (size_t)used - 1,
-                              format, args);
+    int32_t pairs =
+        vsnprintf(line + used, sizeof line - (size_t)used - 1, format, args);
     va_end(args);
     int32_t room = (int32_t)sizeof line - used - 2;
     used += pairs < room ? pairs : room;
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -12,12 +12,12 @@
 typedef struct {
     const char *method;
     char url[kCallerUrlBytes];
-    const char *body; ///< NULL for none
-    const char *host; ///< header line "Host: ..."; NULL for the address
-    uint32_t limit_ms; ///< longest wait; 0 for the usual one
-    uint32_t status;  ///< 0 where no whole answer came
+    const char *body;    ///< NULL for none
+    const char *host;    ///< header line "Host: ..."; NULL for the address
+    uint32_t limit_ms;   ///< longest wait; 0 for the usual one
+    uint32_t status;     ///< 0 where no whole answer came
     bool is_unreachable; ///< no connection was made
-    char *reply;      ///< freed by caller_free
+    char *reply;         ///< freed by caller_free
     uint32_t reply_bytes;
     bool is_not_run;
     uint32_t retry_after_s;
