feat(pool): pace tasks after rejections; drop dead fields

A task whose start a target rejected was placed again at once; where that target was the only one with room, once a round trip. Now a pause of 5 ms that doubles up to 320 ms (test_pool: rejections are paced). Removed: a flag that nothing read, three fields, a copy of a macro.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -71,7 +71,6 @@
     uint64_t guest_number; ///< of the last connection accepted
     caller_job_t *jobs;
     uint64_t request_number; ///< of the last order sent
-    uint64_t self_backlog_ms;
     loop_timer_t timer;
     loop_timer_t beat;
     round_end_t advance;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -290,7 +290,6 @@
     wanted = wanted > own_count && own_count > 0 ? own_count : wanted;
     candidate_t candidate = {
         .rank = members_rank(&node->members, node->self, pool->dc),
-        .own_count = own_count,
         .wanted_count = wanted,
         .owner_count = members_count_owners(&node->members, pool->dc),
         .is_own_dc = strcmp(pool->dc, node->settings->dc) == 0,
@@ -485,7 +484,6 @@
     return (pool_limits_t){.lease_ms = lease_ms < settings->hold_limit_ms
                                            ? lease_ms
                                            : settings->hold_limit_ms,
-                           .stop_grace_ms = settings->stop_grace_ms,
                            .remote_permille = settings->remote_factor};
 }
 
--- a/src/own/members.c
+++ b/src/own/members.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/units.h"
+
 enum {
     kNewsMs = 1200, ///< until news of an owner has reached all nodes
     kRankStepMs = 500,
@@ -11,8 +13,6 @@
     kSettledMs = 5000  ///< before an owner that is not needed leaves
 };
 
-#define MS_TO_NS(ms) ((int64_t)(ms)*1000000)
-
 static const node_record_t *
 copy_record(const node_record_t *record, arena_t *arena)
 {
--- a/src/own/members.h
+++ b/src/own/members.h
@@ -49,7 +49,6 @@
 /// What the choice to own rests on.
 typedef struct {
     uint32_t rank;            ///< of this node
-    uint32_t own_count;       ///< nodes of the data centre itself
     uint32_t wanted_count;    ///< owners that the targets need
     uint32_t owner_count;     ///< other owners that are reached
     bool is_own_dc;           ///< this node stands there
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -123,7 +123,6 @@
             run_stop(pool, run, now_ns);
         }
     }
-    pool->is_dirty = true;
     arena_destroy(order->arena);
 }
 
@@ -164,11 +163,10 @@
 }
 
 void
-order_task_again(pool_t *pool, pool_task_t *task)
+order_task_again(pool_task_t *task)
 {
     task->state = kTaskWaiting;
     task->order->waiting_count++;
-    pool->is_dirty = true;
 }
 
 void
@@ -180,7 +178,7 @@
                      kErrorKindTargetFailed, 0, now_ns);
         return;
     }
-    order_task_again(pool, task);
+    order_task_again(task);
 }
 
 static uint32_t
@@ -269,7 +267,6 @@
                             .objective_ns = objective_ns};
     set_tasks(added);
     link_order(pool, added);
-    pool->is_dirty = true;
 }
 
 void
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -158,7 +158,7 @@
 }
 
 static bool
-is_ready(const pool_task_t *task)
+is_ready(const pool_task_t *task, int64_t now_ns)
 {
     const order_step_t *step = &task->order->order->steps[task->step];
     for (uint32_t i = 0; i < step->depends_on_count; i++) {
@@ -168,7 +168,7 @@
             return false;
         }
     }
-    return task->state == kTaskWaiting;
+    return task->state == kTaskWaiting && task->due_ns <= now_ns;
 }
 
 /// Starts what can be started of an order.
@@ -181,7 +181,7 @@
     for (uint32_t i = 0; i < order->task_count; i++) {
         pool_task_t *task = &order->tasks[i];
         const order_step_t *step = &order->order->steps[task->step];
-        if (!is_ready(task) || step->cpu_mcores >= *full_mcores) {
+        if (!is_ready(task, now_ns) || step->cpu_mcores >= *full_mcores) {
             continue;
         }
         choice_t choice = choose(pool, task, now_ns);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -142,7 +142,6 @@
     else if (is_new_life && !target->is_list_open) {
         target->list_due_ns = now_ns;
     }
-    pool->is_dirty = true;
 }
 
 void
@@ -206,7 +205,7 @@
 static int64_t
 next_placement_ns(const pool_t *pool, int64_t now_ns)
 {
-    enum { kLookAgainMs = 50 };
+    enum { kLookAgainMs = 20 };
     for (const pool_order_t *order = pool->first; order != NULL;
          order = order->next) {
         if (order->waiting_count > 0) {
@@ -222,7 +221,6 @@
     int64_t due_ns = advance_orders(pool, now_ns);
     advance_targets(pool, now_ns);
     place_all(pool, now_ns);
-    pool->is_dirty = false;
     due_ns = earlier(due_ns, advance_targets(pool, now_ns));
     return earlier(due_ns, next_placement_ns(pool, now_ns));
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -141,8 +141,7 @@
 
 /// Limits that the deployment gives.
 typedef struct {
-    uint32_t lease_ms; ///< longest lease that targets grant
-    uint32_t stop_grace_ms;
+    uint32_t lease_ms;        ///< longest lease that targets grant
     uint32_t remote_permille; ///< run time of a task away from its data
 } pool_limits_t;
 
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -10,6 +10,9 @@
     kStartWaitMs = 200,  ///< for the answer to a start; usually 1 to 3 ms
     kStopWaitMs = 200,   ///< for the answer to a stop
     kStopRepeatMs = 250, ///< between two stops of one run
+    kFirstPauseMs = 5,   ///< of a task after its first rejection; most
+                         ///< rejections are of one target only
+    kPauseDoublings = 6, ///< up to 320 ms
     kFirstRun = 1
 };
 
@@ -99,7 +102,7 @@
 
 /// Takes a run off its target and gives its task back, if it has one.
 static pool_task_t *
-finish(pool_t *pool, pool_run_t *run)
+finish(pool_run_t *run)
 {
     pool_task_t *task = run->task;
     run->task = NULL;
@@ -107,7 +110,6 @@
     run->cpu_mcores = 0;
     run->memory_mb = 0;
     run->accelerators = 0;
-    pool->is_dirty = true;
     if (task != NULL) {
         task->run = NULL;
     }
@@ -132,7 +134,7 @@
     else {
         counter_add(kCounterRunsStopped, 1);
     }
-    pool_task_t *task = finish(pool, run);
+    pool_task_t *task = finish(run);
     if (task == NULL) {
         return;
     }
@@ -145,7 +147,7 @@
         order_task_failed(pool, task, now_ns);
         return;
     }
-    order_task_again(pool, task);
+    order_task_again(task);
 }
 
 void
@@ -154,7 +156,7 @@
     if (run->is_over) {
         return;
     }
-    pool_task_t *task = finish(pool, run);
+    pool_task_t *task = finish(run);
     if (task != NULL) {
         order_settle(pool, task->order, kOrderOutcomeLost,
                      kErrorKindTargetLost, 0, now_ns);
@@ -201,18 +203,30 @@
     return run->stop_due_ns;
 }
 
+/// Holds a task back for a time that doubles with each rejection.
+static void
+pause_task(pool_task_t *task, int64_t now_ns)
+{
+    uint32_t doublings = task->reject_count < kPauseDoublings
+                             ? task->reject_count
+                             : (uint32_t)kPauseDoublings;
+    task->reject_count++;
+    task->due_ns = now_ns + (MS_TO_NS(kFirstPauseMs) << doublings);
+}
+
 /// Takes a run back that its target rejected: it never ran.
 static void
-reject(pool_t *pool, pool_run_t *run, bool avoids)
+reject(pool_run_t *run, bool avoids, int64_t now_ns)
 {
     counter_add(kCounterRunsRejected, 1);
     pool_target_t *target = run->target;
-    pool_task_t *task = finish(pool, run);
+    pool_task_t *task = finish(run);
     if (task != NULL) {
         if (avoids) {
             memcpy(task->avoid, target->info.id, sizeof task->avoid);
+            pause_task(task, now_ns);
         }
-        order_task_again(pool, task);
+        order_task_again(task);
     }
 }
 
@@ -240,7 +254,7 @@
 take_not_sent(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
     session_go_mute(pool, run->target, now_ns);
-    reject(pool, run, true);
+    reject(run, true, now_ns);
 }
 
 static void
@@ -255,11 +269,10 @@
 static void
 take_fenced(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    (void)now_ns;
     pool_target_t *target = run->target;
     bool is_current = run->token == target->token;
     counter_add(kCounterTokensFenced, 1);
-    reject(pool, run, is_current);
+    reject(run, is_current, now_ns);
     if (is_current) {
         target->is_fenced = true;
         pool->ops->fenced(pool->owner, &target->info);
@@ -269,23 +282,24 @@
 static void
 take_refusal(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
+    (void)pool;
     session_note_failure(run->target, run, now_ns);
-    reject(pool, run, true);
+    reject(run, true, now_ns);
 }
 
 /// A run of that number was there: an earlier submission of the job.
 static void
 take_stale(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    (void)now_ns;
-    reject(pool, run, false);
+    (void)pool;
+    reject(run, false, now_ns);
 }
 
 static void
 take_other_life(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
     session_go_mute(pool, run->target, now_ns);
-    reject(pool, run, true);
+    reject(run, true, now_ns);
 }
 
 typedef void (*take_start_t)(pool_t *pool, pool_run_t *run, int64_t now_ns);
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -343,7 +343,6 @@
     bool has_strangers = reply->running_count > target->run_count;
     if (was_new && !has_strangers) {
         target->session = kSessionReady;
-        pool->is_dirty = true;
         pool->ops->note(pool->owner, "target_ready", "", target->info.id);
     }
     plan_list(target, has_strangers, now_ns);
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -6,10 +6,9 @@
 #include <apr_strings.h>
 
 #include "base/arena.h"
+#include "base/units.h"
 #include "pool/pool.h"
 
-#define MS_TO_NS(ms) ((int64_t)(ms)*1000000)
-
 typedef struct pool_order pool_order_t;
 
 typedef enum { kTaskWaiting, kTaskPlaced, kTaskDone } pool_task_state_t;
@@ -23,6 +22,8 @@
     uint32_t run_number;        ///< of the last start
     uint32_t failed_count;      ///< runs that ended failed
     uint32_t move_count;        ///< runs stopped, as they took too long
+    uint32_t reject_count;      ///< starts that targets rejected
+    int64_t due_ns;             ///< not before this
     char avoid[kPoolNameBytes]; ///< target of the last run that went wrong
     pool_run_t *run;
 } pool_task_t;
@@ -125,7 +126,6 @@
     uint32_t run_count;
     uint32_t bias_permille; ///< mean of run time against the estimate
     bool is_closed;
-    bool is_dirty; ///< something may be startable
 };
 
 /// sessions.c
@@ -157,7 +157,7 @@
                   error_kind_t kind, uint32_t retry_after_ms, int64_t now_ns);
 void order_task_done(pool_t *pool, pool_task_t *task, int64_t now_ns);
 void order_task_failed(pool_t *pool, pool_task_t *task, int64_t now_ns);
-void order_task_again(pool_t *pool, pool_task_t *task);
+void order_task_again(pool_task_t *task);
 int64_t order_advance(pool_t *pool, pool_order_t *order, int64_t now_ns);
 
 /// place.c
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -187,6 +187,10 @@
             return kReplyDone;
         }
     }
+    if (target->is_shedding) {
+        world->tally.shed++;
+        return kReplyUnhealthy;
+    }
     if (was_there(target, &call->name)) {
         return kReplyStale;
     }
@@ -504,8 +508,8 @@
 void
 world_init(world_t *world, uint32_t target_count, uint64_t seed)
 {
-    const pool_limits_t limits = {
-        .lease_ms = kLeaseMs, .stop_grace_ms = 50, .remote_permille = 1500};
+    const pool_limits_t limits = {.lease_ms = kLeaseMs,
+                                  .remote_permille = 1500};
     *world =
         (world_t){.now_ns = 1000LL * 1000 * kMsNs,
                   .rng = {.state = seed},
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -24,9 +24,10 @@
 typedef struct {
     pool_target_info_t info;
     uint32_t speed_permille;
-    bool is_dark;    ///< nothing reaches it
-    bool is_stuck;   ///< its runs never end
-    bool is_failing; ///< its runs end failed at once
+    bool is_dark;     ///< nothing reaches it
+    bool is_stuck;    ///< its runs never end
+    bool is_failing;  ///< its runs end failed at once
+    bool is_shedding; ///< it rejects all starts
     uint64_t token;
     int64_t lease_ns;
     int64_t clock_start_ns;
@@ -46,6 +47,7 @@
     uint32_t starts;
     uint32_t doubles;   ///< starts of a task that was at work elsewhere
     uint32_t overloads; ///< starts beyond the room, rejected
+    uint32_t shed;      ///< starts rejected by targets that shed
     uint32_t unwanted;  ///< ends of tasks whose order was settled before
 } world_tally_t;
 
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -240,6 +240,22 @@
     world_clear(&world);
 }
 
+static void
+test_rejections_are_paced(void)
+{
+    open_world(1, 1);
+    world.targets[0].is_shedding = true;
+    world_order(&world, 0, "a1", 2, 100, 0);
+    pass_ms(1000);
+    // Pauses of 5, 10, ... 320 ms: nine starts of each task in a second.
+    CU_ASSERT(world.tally.shed >= 2);
+    CU_ASSERT(world.tally.shed <= 18);
+    world.targets[0].is_shedding = false;
+    pass_ms(700);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 1);
+    world_clear(&world);
+}
+
 static void
 test_overload_is_refused_at_once(void)
 {
@@ -388,6 +404,7 @@
         {"a new owner stops strangers", test_new_owner_stops_strangers},
         {"a rejection of an old token is ignored",
          test_rejection_of_old_token_is_ignored},
+        {"rejections are paced", test_rejections_are_paced},
         {"overload is refused at once", test_overload_is_refused_at_once},
         {"urgent orders go first", test_urgent_goes_first},
         {"no double under faults", test_no_double_under_faults},
