--- /dev/null
+++ b/tests/unit/test_adapter.c
@@ -0,0 +1,178 @@
+/// The adapter's decoders, and the choice of a queue.
+#include <apr_general.h>
+#include <string.h>
+
+#include "node/queues.h"
+#include "platform/callers.h"
+#include "platform/feeds.h"
+#include "platform/targets.h"
+#include "support/suite.h"
+
+static const char config_text[] =
+    "{\"version\":7,\"new\":1,\"routes\":["
+    "{\"name\":\"a\",\"hostname\":\"h.example\",\"path_prefix\":\"/x/\","
+    "\"slo_ms\":60,\"priority\":1,\"service\":\"s\",\"max_attempts\":3,"
+    "\"stretch\":1.6},"
+    "{\"name\":\"b\",\"hostname\":\"h.example\",\"path_prefix\":\"/x/y/\","
+    "\"service\":\"t\"}],\"services\":[]}";
+
+static bytes_t
+text_bytes(const char *text)
+{
+    return (bytes_t){.data = (const uint8_t *)text,
+                     .size_bytes = (uint32_t)strlen(text)};
+}
+
+static void
+test_configuration_is_read(void)
+{
+    error_info_t err = {0};
+    queue_table_t *table = feeds_read_config(text_bytes(config_text), &err);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(table);
+    CU_ASSERT_EQUAL(table->version, 7);
+    CU_ASSERT_EQUAL(table->queues[0].stretch_permille, 1600);
+    CU_ASSERT_EQUAL(table->queues[0].attempt_limit, 3);
+    CU_ASSERT_EQUAL(table->queues[1].attempt_limit, 1);
+    queues_free(table);
+}
+
+static void
+test_longest_prefix_of_the_host_wins(void)
+{
+    error_info_t err = {0};
+    queue_table_t *table = feeds_read_config(text_bytes(config_text), &err);
+    CU_ASSERT_STRING_EQUAL(queues_find(table, "h.example:80", "/x/y/1")->name,
+                           "b");
+    CU_ASSERT_STRING_EQUAL(queues_find(table, "H.example", "/x/1")->name, "a");
+    CU_ASSERT_PTR_NULL(queues_find(table, "other.example", "/x/1"));
+    CU_ASSERT_PTR_NULL(queues_find(table, "h.example", "/z"));
+    queues_free(table);
+}
+
+static void
+test_bad_configuration_is_refused(void)
+{
+    const char *const texts[] = {"", "[1,2", "{}", "{\"version\":\"7\"}",
+                                 "{\"version\":7,\"routes\":[{}],"
+                                 "\"services\":[]}"};
+    for (uint32_t i = 0; i < sizeof texts / sizeof texts[0]; i++) {
+        error_info_t err = {0};
+        CU_ASSERT_PTR_NULL(feeds_read_config(text_bytes(texts[i]), &err));
+        CU_ASSERT_NOT_EQUAL(err.kind, kErrorKindOk);
+    }
+}
+
+static void
+test_entry_of_a_target(void)
+{
+    pool_target_info_t info;
+    error_info_t err = {0};
+    CU_ASSERT_TRUE(feeds_read_target(
+        "i-1",
+        text_bytes("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                   "\"zone\":\"z\",\"state\":\"draining\",\"capacity\":"
+                   "{\"cpu\":32000,\"mem_mb\":64,\"gpus\":0},"
+                   "\"labels\":[\"a\",\"r1\"],\"born\":5}"),
+        &info, &err));
+    CU_ASSERT_STRING_EQUAL(info.dc, "z");
+    CU_ASSERT_TRUE(info.is_draining);
+    CU_ASSERT_EQUAL(info.label_count, 2);
+    CU_ASSERT_EQUAL(info.born_ms, 5);
+}
+
+static void
+test_entry_of_another_writer_is_skipped(void)
+{
+    const char *const texts[] = {
+        "{\"service\":7,\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\","
+        "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+        "\"state\":\"odd\",\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\"}", "\xff\xfe"};
+    for (uint32_t i = 0; i < sizeof texts / sizeof texts[0]; i++) {
+        pool_target_info_t info;
+        error_info_t err = {0};
+        CU_ASSERT_FALSE(
+            feeds_read_target("i-1", text_bytes(texts[i]), &info, &err));
+    }
+}
+
+static void
+test_name_of_a_task(void)
+{
+    run_name_t name = {0};
+    CU_ASSERT_TRUE(targets_parse_task("5c0e7a21d94b36f8.0.1.17", &name));
+    CU_ASSERT_STRING_EQUAL(name.job, "5c0e7a21d94b36f8");
+    CU_ASSERT_EQUAL(name.step, 1);
+    CU_ASSERT_EQUAL(name.index, 17);
+    CU_ASSERT_FALSE(targets_parse_task("5c0e7a21d94b36f8.2.1.17", &name));
+    CU_ASSERT_FALSE(targets_parse_task("5c0e7a21d94b36f8.0.1", &name));
+    CU_ASSERT_FALSE(targets_parse_task("", &name));
+}
+
+static error_kind_t
+read_job(const char *text, arena_t *arena, order_t *order)
+{
+    const queue_t queue = {.service = "s",
+                           .attempt_limit = 2,
+                           .slo_ms = 60,
+                           .stretch_permille = 1600};
+    error_info_t err = {0};
+    return callers_read_job(text_bytes(text), &queue, "j", arena, order, &err);
+}
+
+static void
+test_job_is_read(void)
+{
+    order_t order;
+    arena_t *arena = arena_create();
+    CU_ASSERT_EQUAL(
+        read_job("{\"task_spec\":\"t\",\"best_effort\":true,\"steps\":["
+                 "{\"count\":4,\"cpu\":500,\"estimate_ms\":900},"
+                 "{\"count\":2,\"depends_on\":[0],\"anti_affinity\":1}]}",
+                 arena, &order),
+        kErrorKindOk);
+    CU_ASSERT_EQUAL(order.steps_count, 2);
+    CU_ASSERT_EQUAL(order.steps[1].depends_on_count, 1);
+    CU_ASSERT_EQUAL(order.steps[1].per_target_limit, 1);
+    arena_destroy(arena);
+}
+
+static void
+test_parts_not_served_are_refused(void)
+{
+    const char *const texts[] = {
+        "{\"steps\":[{\"count\":1}]}",
+        "{\"best_effort\":true,\"times\":3,\"steps\":[{\"count\":1}]}",
+        "{\"best_effort\":true,\"steps\":[{\"count\":1,\"gang\":true}]}",
+        "{\"best_effort\":true,\"long_running\":true,"
+        "\"steps\":[{\"count\":1}]}",
+        "{\"best_effort\":true,\"steps\":[{\"count\":1,\"fills\":true}]}"};
+    for (uint32_t i = 0; i < sizeof texts / sizeof texts[0]; i++) {
+        order_t order;
+        arena_t *arena = arena_create();
+        CU_ASSERT_EQUAL(read_job(texts[i], arena, &order), kErrorKindNotReady);
+        arena_destroy(arena);
+    }
+}
+
+int
+main(void)
+{
+    const CU_TestInfo tests[] = {
+        {"a configuration is read", test_configuration_is_read},
+        {"the longest prefix of the host wins",
+         test_longest_prefix_of_the_host_wins},
+        {"a bad configuration is refused", test_bad_configuration_is_refused},
+        {"an entry of a target is read", test_entry_of_a_target},
+        {"an entry of another writer is skipped",
+         test_entry_of_another_writer_is_skipped},
+        {"the name of a task is read", test_name_of_a_task},
+        {"a job is read", test_job_is_read},
+        {"parts that are not served are refused",
+         test_parts_not_served_are_refused},
+        CU_TEST_INFO_NULL,
+    };
+    apr_initialize();
+    return suite_run("adapter", tests);
+}
--- /dev/null
+++ b/tests/unit/test_own.c
@@ -0,0 +1,195 @@
+/// Cells and members: who owns which targets under which token.
+#include <apr_general.h>
+
+#include "own/cells.h"
+#include "own/members.h"
+#include "support/suite.h"
+
+enum { kCells = 4 };
+
+static const uint32_t all_cells[kCells] = {0, 1, 2, 3};
+
+static void
+test_cell_keeps_its_token(void)
+{
+    cells_t cells;
+    cells_init(&cells, kCells);
+    CU_ASSERT_TRUE(cells_take(&cells, 3, all_cells, 2));
+    CU_ASSERT_EQUAL(cells.tokens[0], 3);
+    CU_ASSERT_TRUE(cells_take(&cells, 5, all_cells, 4));
+    CU_ASSERT_EQUAL(cells.tokens[0], 3);
+    CU_ASSERT_EQUAL(cells.tokens[3], 5);
+    CU_ASSERT_EQUAL(cells_held(&cells), 4);
+    cells_clear(&cells);
+}
+
+static void
+test_moved_cell_is_let_go_first(void)
+{
+    cells_t cells;
+    cells_init(&cells, kCells);
+    cells_take(&cells, 3, all_cells, 4);
+    cells_take(&cells, 4, all_cells, 2);
+    // The old generation is joined with until both are let go.
+    CU_ASSERT_EQUAL(cells.generation, 3);
+    CU_ASSERT_EQUAL(cells.tokens[2], 3);
+    CU_ASSERT_TRUE(cells.is_leaving[2]);
+    cells_release(&cells, 2);
+    CU_ASSERT_EQUAL(cells.generation, 3);
+    cells_release(&cells, 3);
+    CU_ASSERT_EQUAL(cells.generation, 4);
+    CU_ASSERT_EQUAL(cells.tokens[2], 0);
+    cells_clear(&cells);
+}
+
+static void
+test_cell_that_comes_back_stays(void)
+{
+    cells_t cells;
+    cells_init(&cells, kCells);
+    cells_take(&cells, 3, all_cells, 4);
+    cells_take(&cells, 4, all_cells, 2);
+    cells_take(&cells, 5, all_cells, 4);
+    CU_ASSERT_EQUAL(cells.leaving_count, 0);
+    CU_ASSERT_EQUAL(cells.tokens[3], 3);
+    CU_ASSERT_EQUAL(cells.generation, 5);
+    cells_clear(&cells);
+}
+
+static void
+test_older_answer_changes_nothing(void)
+{
+    cells_t cells;
+    cells_init(&cells, kCells);
+    cells_take(&cells, 5, all_cells, 4);
+    CU_ASSERT_FALSE(cells_take(&cells, 4, all_cells, 0));
+    CU_ASSERT_EQUAL(cells_held(&cells), 4);
+    cells_clear(&cells);
+}
+
+static void
+test_token_rises_to_the_newest_generation(void)
+{
+    cells_t cells;
+    cells_init(&cells, kCells);
+    cells_take(&cells, 3, all_cells, 4);
+    CU_ASSERT_FALSE(cells_raise(&cells, 1));
+    cells_take(&cells, 7, all_cells, 4);
+    CU_ASSERT_TRUE(cells_raise(&cells, 1));
+    CU_ASSERT_EQUAL(cells.tokens[1], 7);
+    cells_clear(&cells);
+}
+
+static member_t *
+put_member(members_t *members, const char *name, const char *dc,
+           uint32_t strength_milli, const char *pool)
+{
+    const char *pools[1] = {pool};
+    node_record_t record = {.name = name,
+                            .dc = dc,
+                            .address = "127.0.0.1",
+                            .strength_milli = strength_milli,
+                            .pools = pools,
+                            .pools_count = pool == NULL ? 0 : 1};
+    return members_put(members, &record);
+}
+
+static void
+drop_all(members_t *members)
+{
+    while (members->first != NULL) {
+        members_drop(members, members->first->record->name);
+    }
+}
+
+static void
+test_rank_is_by_place_then_strength(void)
+{
+    members_t members = {0};
+    member_t *weak = put_member(&members, "a", "d1", 100, NULL);
+    member_t *strong = put_member(&members, "b", "d1", 500, NULL);
+    member_t *far = put_member(&members, "c", "d2", 900, NULL);
+    CU_ASSERT_EQUAL(members_rank(&members, strong, "d1"), 0);
+    CU_ASSERT_EQUAL(members_rank(&members, weak, "d1"), 1);
+    CU_ASSERT_EQUAL(members_rank(&members, far, "d1"), 2);
+    CU_ASSERT_EQUAL(members_rank(&members, far, "d2"), 0);
+    drop_all(&members);
+}
+
+static void
+test_owners_in_reach_are_counted(void)
+{
+    members_t members = {0};
+    put_member(&members, "a", "d1", 100, "d1")->is_reached = true;
+    put_member(&members, "b", "d1", 100, "d1");
+    put_member(&members, "c", "d1", 100, NULL)->is_reached = true;
+    CU_ASSERT_EQUAL(members_count_owners(&members, "d1"), 1);
+    CU_ASSERT_EQUAL(members_count_in(&members, "d1"), 3);
+    drop_all(&members);
+}
+
+static void
+test_first_joins_at_once_when_short(void)
+{
+    candidate_t candidate = {.rank = 0,
+                             .wanted_count = 1,
+                             .is_own_dc = true,
+                             .short_since_ns = 100};
+    CU_ASSERT_EQUAL(candidate_join_ns(&candidate, 200), 200);
+    candidate.short_since_ns = 0;
+    CU_ASSERT_EQUAL(candidate_join_ns(&candidate, 200), INT64_MAX);
+}
+
+static void
+test_others_join_in_turn(void)
+{
+    candidate_t second = {.rank = 1,
+                          .wanted_count = 1,
+                          .is_own_dc = true,
+                          .short_since_ns = 100};
+    candidate_t third = second;
+    candidate_t far = second;
+    third.rank = 2;
+    far.rank = 3;
+    far.is_own_dc = false;
+    CU_ASSERT(candidate_join_ns(&second, 200) > 200);
+    CU_ASSERT(candidate_join_ns(&third, 200) >
+              candidate_join_ns(&second, 200));
+    CU_ASSERT(candidate_join_ns(&far, 200) > candidate_join_ns(&third, 200));
+}
+
+static void
+test_needed_owner_stays(void)
+{
+    candidate_t candidate = {.rank = 0,
+                             .wanted_count = 1,
+                             .is_own_dc = true,
+                             .is_owner = true,
+                             .settled_since_ns = 100};
+    CU_ASSERT_EQUAL(candidate_leave_ns(&candidate), INT64_MAX);
+    candidate.rank = 1;
+    CU_ASSERT(candidate_leave_ns(&candidate) < INT64_MAX);
+}
+
+int
+main(void)
+{
+    const CU_TestInfo tests[] = {
+        {"a cell keeps its token", test_cell_keeps_its_token},
+        {"a moved cell is let go first", test_moved_cell_is_let_go_first},
+        {"a cell that comes back stays", test_cell_that_comes_back_stays},
+        {"an older answer changes nothing", test_older_answer_changes_nothing},
+        {"a token rises to the newest generation",
+         test_token_rises_to_the_newest_generation},
+        {"rank is by place, then strength",
+         test_rank_is_by_place_then_strength},
+        {"owners in reach are counted", test_owners_in_reach_are_counted},
+        {"the first joins at once when owners are short",
+         test_first_joins_at_once_when_short},
+        {"others join in turn", test_others_join_in_turn},
+        {"a needed owner stays", test_needed_owner_stays},
+        CU_TEST_INFO_NULL,
+    };
+    apr_initialize();
+    return suite_run("own", tests);
+}
