--- a/src/base/units.h
+++ b/src/base/units.h
@@ -4,6 +4,6 @@
 
 #include <stdint.h>
 
-#define MS_TO_NS(ms) ((int64_t)(ms) * 1000000)
+#define MS_TO_NS(ms) ((int64_t)(ms)*1000000)
 
 #endif
