--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -93,7 +93,6 @@
     uint32_t open_calls;
     bool is_list_open;
     bool is_list_waiting; ///< the open list waits for an end
-    bool list_renews;     ///< the open list carries a lease
     int64_t list_sent_ns;
     uint64_t list_token;    ///< that the open list carries
     int64_t list_due_ns;    ///< when to send the next list; INT64_MAX: never
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #include "node/queues.h"
-#include "platform/callers.h"
 #include "platform/feeds.h"
+#include "platform/job_reader.h"
 #include "platform/targets.h"
 #include "support/suite.h"
 
@@ -118,7 +118,7 @@
                            .slo_ms = 60,
                            .stretch_permille = 1600};
     error_info_t err = {0};
-    return callers_read_job(text_bytes(text), &queue, "j", arena, order, &err);
+    return job_reader_read(text_bytes(text), &queue, "j", arena, order, &err);
 }
 
 static void
