--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -19,7 +19,7 @@
 start() {
     name=$1
     shift
-    "$@" 2>"$run/$name.log" &
+    "$@" >"$run/$name.log" 2>&1 &
     pids="$pids $!"
 }
 
@@ -57,7 +57,7 @@
         done
     done
 done
-until curl -s "http://$net.1.1:8080/v1/health" >/dev/null; do sleep 0.05; done
+until curl -sf -X POST "http://$net.1.1:8080/v1/job-ids" >/dev/null; do sleep 0.05; done
 
 echo "== publish the section of the counter team"
 printf '{\n  // The counter team: quotes and slot bookings.\n  "quota": {"tasks_per_s": 1000}\n}\n' >"$run/counter.json"
