fix(own): spread similar names over cells

Found by test_node under the address sanitizer (an outage of the store, 14 jobs without an owner): the store moved half of the cells as it went out, and all targets lay in that half, since the hash of names that differ in one character differed in few bits. test_own: similar names are spread; fails without it. Open: an owner starts nothing in cells that are moving while the store is out, although nobody else can have them.

--- a/src/own/cells.c
+++ b/src/own/cells.c
@@ -111,7 +111,12 @@
     for (const char *at = target_id; *at != '\0'; at++) {
         hash = (hash ^ (uint8_t)*at) * UINT64_C(0x100000001b3);
     }
-    return (uint32_t)((hash >> 16) % cells->count);
+    // Names that differ in one character differ in few bits so far; the
+    // finalizer of splitmix64 spreads them.
+    hash = (hash ^ (hash >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+    hash = (hash ^ (hash >> 27)) * UINT64_C(0x94d049bb133111eb);
+    hash ^= hash >> 31;
+    return (uint32_t)(hash % cells->count);
 }
 
 uint32_t
--- a/tests/unit/test_own.c
+++ b/tests/unit/test_own.c
@@ -80,6 +80,21 @@
     cells_clear(&cells);
 }
 
+static void
+test_similar_names_are_spread(void)
+{
+    cells_t cells;
+    uint32_t odd_count = 0;
+    cells_init(&cells, 32);
+    for (char digit = '0'; digit <= '7'; digit++) {
+        const char name[] = {'r', digit, '\0'};
+        odd_count += cells_find(&cells, name) % 2;
+    }
+    CU_ASSERT(odd_count >= 1);
+    CU_ASSERT(odd_count <= 7);
+    cells_clear(&cells);
+}
+
 static member_t *
 put_member(members_t *members, const char *name, const char *dc,
            uint32_t strength_milli, const char *pool)
@@ -181,6 +196,7 @@
         {"an older answer changes nothing", test_older_answer_changes_nothing},
         {"a token rises to the newest generation",
          test_token_rises_to_the_newest_generation},
+        {"similar names are spread", test_similar_names_are_spread},
         {"rank is by place, then strength",
          test_rank_is_by_place_then_strength},
         {"owners in reach are counted", test_owners_in_reach_are_counted},
