fix(own): new nodes gather before they choose owners; records that a late write replaced are repaired

Traced in the kept logs: n2 got 32 cells, lost 21 to n0 and n1 within 1 ms, and refused a job 100 ms later. - A new node waits 500 ms for the records of nodes that start with it; one that finds a record of an earlier process of its own has no need to. - The test waits until all runners have an owner (gauge targets_open, new on the metrics address) before it asks for all of them. - An append that is carried out late could leave an old record of a node for good: the node publishes again when the store shows another one than it wrote. The new test waits in vain without it. - Tests that run side by side could get one network (process id modulo 128); networks are reserved now.

--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -9,6 +9,7 @@
 } stripe_t;
 
 static stripe_t stripes[kStripeCount];
+static _Atomic uint64_t gauges[kGaugeCount];
 static _Atomic uint32_t next_stripe;
 static _Thread_local uint32_t own_stripe = UINT32_MAX;
 
@@ -32,3 +33,15 @@
     }
     return sum;
 }
+
+void
+gauge_set(gauge_t gauge, uint64_t value)
+{
+    atomic_store_explicit(&gauges[gauge], value, memory_order_relaxed);
+}
+
+uint64_t
+gauge_read(gauge_t gauge)
+{
+    return atomic_load_explicit(&gauges[gauge], memory_order_relaxed);
+}
--- a/src/codec/json.c
+++ b/src/codec/json.c
@@ -2,10 +2,14 @@
 
 #include <apr_strings.h>
 #include <json-c/json.h>
+#include <math.h>
 #include <string.h>
 
 enum { kNestingLimit = 32, kPathBytes = 128 };
 
+/// Largest number up to which a double holds every whole one.
+#define WHOLE_LIMIT 9007199254740992.0
+
 /// What a read carries along.
 typedef struct {
     arena_t *arena;
@@ -60,6 +64,24 @@
         reader->path[0] == '\0' ? "document" : reader->path, text, allowed);
 }
 
+/// Reads a whole number that is not negative; JSON may write it as 5 or 5.0.
+static bool
+read_whole(json_object *object, uint64_t *out)
+{
+    if (json_object_is_type(object, json_type_int)) {
+        *out = json_object_get_uint64(object);
+        return json_object_get_int64(object) >= 0;
+    }
+    double number = json_object_is_type(object, json_type_double)
+                        ? json_object_get_double(object)
+                        : -1;
+    if (!(number >= 0 && number <= WHOLE_LIMIT) || floor(number) != number) {
+        return false;
+    }
+    *out = (uint64_t)number;
+    return true;
+}
+
 static bool
 read_number(reader_t *reader, json_object *object, const field_desc_t *field,
             uint64_t *out)
@@ -69,14 +91,9 @@
                  "a whole number from %" APR_UINT64_T_FMT
                  " to %" APR_UINT64_T_FMT,
                  field->min, field->max);
-    if (!json_object_is_type(object, json_type_int)) {
-        return refuse(reader, object, allowed);
-    }
-    if (json_object_get_int64(object) < 0) {
-        return refuse(reader, object, allowed);
-    }
-    uint64_t number = json_object_get_uint64(object);
-    if (number < field->min || number > field->max) {
+    uint64_t number = 0;
+    if (!read_whole(object, &number) || number < field->min ||
+        number > field->max) {
         return refuse(reader, object, allowed);
     }
     *out = number;
@@ -91,8 +108,14 @@
     bool is_number = json_object_is_type(object, json_type_int) ||
                      json_object_is_type(object, json_type_double);
     double milli = is_number ? json_object_get_double(object) * 1000 + 0.5 : 0;
-    if (!is_number || !(milli >= 0 && milli <= (double)field->max)) {
-        return refuse(reader, object, "a number");
+    if (!is_number ||
+        !(milli >= (double)field->min && milli <= (double)field->max)) {
+        char allowed[80];
+        apr_snprintf(allowed, sizeof allowed,
+                     "a number from %" APR_UINT64_T_FMT
+                     " to %" APR_UINT64_T_FMT " thousandths",
+                     field->min, field->max);
+        return refuse(reader, object, allowed);
     }
     *out = (uint32_t)milli;
     return true;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#include "base/counters.h"
 #include "node/guests.h"
 #include "node/home.h"
 #include "node/owner.h"
@@ -144,11 +145,22 @@
     }
 }
 
+static void
+update_gauges(const node_t *node, int64_t now_ns)
+{
+    pool_news_t news = pool_read_news(node->pool, now_ns);
+    gauge_set(kGaugeTargetsOpen, news.target_count);
+    gauge_set(kGaugeOrdersOpen, news.order_count);
+    gauge_set(kGaugeRunsOpen, news.run_count);
+    gauge_set(kGaugeConfigVersion,
+              node->queues == NULL ? 0 : node->queues->version);
+}
+
 static void
 on_beat(loop_timer_t *timer)
 {
     node_t *node = timer->owner;
-    node_now_ns(node);
+    update_gauges(node, node_now_ns(node));
     update_ready(node);
     if (node->stop_ns != 0) {
         node_kick(node);
@@ -253,6 +265,7 @@
 node_take_member(node_t *node, const node_record_t *record)
 {
     if (strcmp(record->name, node->settings->name) == 0) {
+        node_take_own_record(node, record);
         return;
     }
     members_put(&node->members, record);
@@ -262,17 +275,21 @@
 void
 node_take_members_listed(node_t *node)
 {
-    node->has_members = true;
+    if (node->listed_ns == 0) {
+        node->listed_ns = node_now_ns(node);
+    }
     node_kick(node);
 }
 
 void
 node_drop_member(node_t *node, const char *name)
 {
-    if (strcmp(name, node->settings->name) != 0) {
-        members_drop(&node->members, name);
-        peers_update(node);
+    if (strcmp(name, node->settings->name) == 0) {
+        node_take_own_record(node, NULL);
+        return;
     }
+    members_drop(&node->members, name);
+    peers_update(node);
 }
 
 static void
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,8 +64,12 @@
     struct known_target *known; ///< targets that the platform lists
     apr_hash_t *targets;        ///< the same by id
     members_t members;
-    bool has_members; ///< they were listed once
+    int64_t listed_ns; ///< when they were first listed; 0: not yet
+    bool is_restarted; ///< an earlier process of this node left a record
     member_t *self;
+    int64_t repair_due_ns; ///< when to publish again, as the store shows
+                           ///< something else; 0: it does not
+    uint32_t repair_count; ///< in a row
     peer_t *peers;
     guest_t *guests;
     uint64_t guest_number; ///< of the last connection accepted
@@ -117,6 +121,11 @@
 /// All records of nodes that were there at the start are known.
 void node_take_members_listed(node_t *node);
 
+/// The record that the other nodes see of this one: another process of the
+/// same name left it, or an earlier write of this one was carried out late.
+/// NULL where it was dropped.
+void node_take_own_record(node_t *node, const node_record_t *record);
+
 /// A target of a data centre answered a probe.
 void node_take_probe(node_t *node, const char *dc);
 
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -18,7 +18,11 @@
     kLeavingLimitMs = 2500, ///< for the runs of leaving cells to end
     kLeavingLookMs = 40,    ///< between two looks at them
     kProbeMs = 500,         ///< between two probes of a data centre
-    kProbeLifeMs = 1000     ///< that an answer to a probe counts for
+    kProbeLifeMs = 1000,    ///< that an answer to a probe counts for
+    kRepairMs = 500, ///< that a record may differ from what was published; a
+                     ///< write takes far less to come back
+    kRepairDoublings = 6 ///< of that time, as two processes of one name would
+                         ///< write in turns
 };
 
 /// A target that the platform lists.
@@ -293,7 +297,8 @@
         .wanted_count = wanted,
         .owner_count = members_count_owners(&node->members, pool->dc),
         .is_own_dc = strcmp(pool->dc, node->settings->dc) == 0,
-        .is_owner = pool->is_member};
+        .is_owner = pool->is_member,
+        .new_since_ns = node->is_restarted ? 0 : node->listed_ns};
     // From elsewhere, one owner in reach is enough.
     bool is_enough =
         candidate.owner_count >= (candidate.is_own_dc ? wanted : 1);
@@ -350,7 +355,7 @@
 decide_membership(node_t *node, dc_pool_t *pool, int64_t now_ns)
 {
     if (atomic_load(&node->is_draining) || pool->target_count == 0 ||
-        !node->has_members) {
+        node->listed_ns == 0) {
         return INT64_MAX;
     }
     candidate_t candidate = describe_candidate(node, pool, now_ns);
@@ -376,10 +381,49 @@
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
+void
+node_take_own_record(node_t *node, const node_record_t *record)
+{
+    bool is_right = record != NULL && member_has_record(node->self, record);
+    // The records of the others are in the same list.
+    node->is_restarted |= node->listed_ns == 0 && record != NULL &&
+                          record->nonce != node->self->record->nonce;
+    if (is_right) {
+        node->repair_due_ns = 0;
+        node->repair_count = 0;
+    }
+    else if (node->repair_due_ns == 0) {
+        node->repair_due_ns =
+            node_now_ns(node) + (int64_t)kRepairMs * kNsPerMs;
+        node_kick(node);
+    }
+}
+
+/// Publishes the node's record again where the store shows another one.
+///
+/// @return when to call it again
+static int64_t
+repair_record(node_t *node, int64_t now_ns)
+{
+    if (node->repair_due_ns == 0) {
+        return INT64_MAX;
+    }
+    if (node->repair_due_ns <= now_ns) {
+        log_event("record_repaired", "name=%s", node->settings->name);
+        uint32_t doublings = node->repair_count < kRepairDoublings
+                                 ? ++node->repair_count
+                                 : (uint32_t)kRepairDoublings;
+        node->repair_due_ns =
+            now_ns + ((int64_t)kRepairMs << doublings) * kNsPerMs;
+        owner_publish(node);
+    }
+    return node->repair_due_ns;
+}
+
 int64_t
 owner_advance(node_t *node, int64_t now_ns)
 {
-    int64_t due_ns = INT64_MAX;
+    int64_t due_ns = repair_record(node, now_ns);
     for (uint32_t i = 0; i < node->dc_count; i++) {
         dc_pool_t *pool = &node->dcs[i];
         int64_t decide_ns = decide_membership(node, pool, now_ns);
--- a/src/own/members.c
+++ b/src/own/members.c
@@ -10,7 +10,9 @@
     kNewsMs = 1200, ///< until news of an owner has reached all nodes
     kRankStepMs = 500,
     kForeignMs = 3000, ///< that owners from elsewhere hold back for
-    kSettledMs = 5000  ///< before an owner that is not needed leaves
+    kSettledMs = 5000, ///< before an owner that is not needed leaves
+    kGatherMs = 500    ///< that a new node waits for others that start with
+                       ///< it; all machines start within 300 ms
 };
 
 static const node_record_t *
@@ -69,6 +71,22 @@
     }
 }
 
+bool
+member_has_record(const member_t *member, const node_record_t *record)
+{
+    const node_record_t *own = member->record;
+    if (own->nonce != record->nonce || own->is_leaving != record->is_leaving ||
+        own->pools_count != record->pools_count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < record->pools_count; i++) {
+        if (!member_serves(member, record->pools[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 member_serves(const member_t *member, const char *dc)
 {
@@ -132,15 +150,25 @@
     return count;
 }
 
+/// @return from when a node may join at all
+static int64_t
+gathered_ns(const candidate_t *candidate)
+{
+    return candidate->new_since_ns == 0
+               ? 0
+               : candidate->new_since_ns + MS_TO_NS(kGatherMs);
+}
+
 int64_t
 candidate_join_ns(const candidate_t *candidate, int64_t now_ns)
 {
     if (candidate->is_owner || candidate->short_since_ns == 0) {
         return INT64_MAX;
     }
+    int64_t least_ns = gathered_ns(candidate);
     bool is_first = candidate->rank < candidate->wanted_count;
     if (candidate->is_own_dc && is_first) {
-        return now_ns;
+        return least_ns > now_ns ? least_ns : now_ns;
     }
     int64_t wait_ms =
         kNewsMs +
@@ -149,7 +177,8 @@
     if (!candidate->is_own_dc) {
         wait_ms += kForeignMs;
     }
-    return candidate->short_since_ns + MS_TO_NS(wait_ms);
+    int64_t join_ns = candidate->short_since_ns + MS_TO_NS(wait_ms);
+    return least_ns > join_ns ? least_ns : join_ns;
 }
 
 int64_t
--- a/src/own/members.h
+++ b/src/own/members.h
@@ -32,6 +32,9 @@
 /// Forgets a node.
 void members_drop(members_t *members, const char *name);
 
+/// @return whether a member's record says the same as another one
+bool member_has_record(const member_t *member, const node_record_t *record);
+
 /// @return whether a member owns targets of a data centre
 bool member_serves(const member_t *member, const char *dc);
 
@@ -53,6 +56,8 @@
     uint32_t owner_count;     ///< other owners that are reached
     bool is_own_dc;           ///< this node stands there
     bool is_owner;            ///< this node owns some already
+    int64_t new_since_ns;     ///< since when a new node knows the others; 0:
+                              ///< it has run before
     int64_t short_since_ns;   ///< since when owners were too few; 0: they
                               ///< are not
     int64_t settled_since_ns; ///< since when owners were enough; 0: they are
--- a/tests/functional/test_node.c
+++ b/tests/functional/test_node.c
@@ -95,6 +95,8 @@
     load_t load;
     fleet_start(&fleet, 1, 3, kRunners);
     for (uint32_t i = 0; i < fleet.node_count; i++) {
+        // All tasks of the load must find room at once.
+        fleet_wait_owned(&fleet, kRunners);
         start_load(&load, 1000 + 100 * i, 600);
         wait_ledger("running", kBatch);
         fleet_signal(&fleet, i, SIGTERM);
@@ -208,6 +210,39 @@
     fleet_end(&fleet);
 }
 
+static bool
+is_served_by_all(void *state)
+{
+    uint64_t *id = state;
+    bool is_served = true;
+    for (uint32_t i = 0; i < fleet.node_count; i++) {
+        is_served &= fleet_run_job(&fleet, i, (*id)++, 2, 10) == 200;
+    }
+    return is_served;
+}
+
+static bool
+is_first_sole_owner(void *state)
+{
+    (void)state;
+    return fleet_owned(&fleet, 0) == kRunners;
+}
+
+static void
+test_late_records_are_repaired(void)
+{
+    uint64_t id = 8000;
+    fleet_start(&fleet, 1, 2, kRunners);
+    // The first record of the owner names no targets of its own.
+    uint64_t before = fleet_ledger(&fleet, "node_records");
+    fleet_set(&fleet, "late_nodes=1");
+    wait_ledger("node_records", before + fleet.node_count + 1);
+    process_wait_for(is_served_by_all, &id, "both nodes know the owner");
+    // Where the record stays wrong, another node takes a part for good.
+    process_wait_for(is_first_sole_owner, NULL, "there is one owner");
+    fleet_end(&fleet);
+}
+
 static void
 test_silent_connections_are_replaced(void)
 {
@@ -259,6 +294,7 @@
         {"a frozen owner is replaced", test_frozen_owner_is_replaced},
         {"an outage of the store is borne", test_store_outage_is_borne},
         {"the configuration takes effect", test_configuration_takes_effect},
+        {"late records of nodes are repaired", test_late_records_are_repaired},
         {"silent connections are replaced",
          test_silent_connections_are_replaced},
         {"a draining runner gets no start",
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -511,6 +511,32 @@
     }
 }
 
+/// @return whether no earlier record has the key of a record
+static bool
+is_first(const topic_t *topic, uint64_t at)
+{
+    uint64_t i = 0;
+    while (strcmp(topic->records[i % kRecords].key,
+                  topic->records[at % kRecords].key) != 0) {
+        i++;
+    }
+    return i == at;
+}
+
+void
+fake_store_repeat_first(fake_store_t *store, const char *name)
+{
+    topic_t *topic = find_topic(store, name);
+    uint64_t end = topic->end;
+    for (uint64_t i = 0; i < end; i++) {
+        const record_t *record = &topic->records[i % kRecords];
+        if (is_first(topic, i)) {
+            append(store, topic, record->key, record->value,
+                   record->value_bytes);
+        }
+    }
+}
+
 void
 fake_store_rebalance(fake_store_t *store)
 {
@@ -531,6 +557,12 @@
     return &store->faults;
 }
 
+uint64_t
+fake_store_end(fake_store_t *store, const char *topic)
+{
+    return find_topic(store, topic)->end;
+}
+
 uint64_t
 fake_store_calls(const fake_store_t *store)
 {
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -17,6 +17,10 @@
 /// Drops the history of all topics; the newest records stay.
 void fake_store_compact(fake_store_t *store);
 
+/// Appends the first record of each key of a topic once more, as writes that
+/// are carried out late.
+void fake_store_repeat_first(fake_store_t *store, const char *topic);
+
 /// Deals all partitions anew.
 void fake_store_rebalance(fake_store_t *store);
 
@@ -29,6 +33,9 @@
 
 fake_store_faults_t *fake_store_faults(fake_store_t *store);
 
+/// @return how many records a topic has had
+uint64_t fake_store_end(fake_store_t *store, const char *topic);
+
 /// @return calls taken so far
 uint64_t fake_store_calls(const fake_store_t *store);
 
--- a/tests/standins/users.c
+++ b/tests/standins/users.c
@@ -60,6 +60,9 @@
     if (strstr(path, "compact=1") != NULL) {
         fake_store_compact(users->store);
     }
+    if (strstr(path, "late_nodes=1") != NULL) {
+        fake_store_repeat_first(users->store, "keyed.nodes");
+    }
     if (strstr(path, "rebalance=1") != NULL) {
         fake_store_rebalance(users->store);
     }
@@ -92,21 +95,24 @@
     }
     else {
         const runners_ledger_t *ledger = runners_ledger(users->runners);
-        snprintf(text, sizeof text,
-                 "{\"starts\": %llu, \"done\": %llu, \"failed\": %llu, "
-                 "\"stopped\": %llu, \"lapsed\": %llu, \"doubles\": %llu, "
-                 "\"out_of_room\": %llu, \"drained\": %llu, "
-                 "\"running\": %llu, \"store_calls\": %llu}",
-                 (unsigned long long)ledger->starts,
-                 (unsigned long long)ledger->done,
-                 (unsigned long long)ledger->failed,
-                 (unsigned long long)ledger->stopped,
-                 (unsigned long long)ledger->lapsed,
-                 (unsigned long long)ledger->doubles,
-                 (unsigned long long)ledger->out_of_room,
-                 (unsigned long long)ledger->drained,
-                 (unsigned long long)ledger->running,
-                 (unsigned long long)fake_store_calls(users->store));
+        snprintf(
+            text, sizeof text,
+            "{\"starts\": %llu, \"done\": %llu, \"failed\": %llu, "
+            "\"stopped\": %llu, \"lapsed\": %llu, \"doubles\": %llu, "
+            "\"out_of_room\": %llu, \"drained\": %llu, "
+            "\"running\": %llu, \"store_calls\": %llu, "
+            "\"node_records\": %llu}",
+            (unsigned long long)ledger->starts,
+            (unsigned long long)ledger->done,
+            (unsigned long long)ledger->failed,
+            (unsigned long long)ledger->stopped,
+            (unsigned long long)ledger->lapsed,
+            (unsigned long long)ledger->doubles,
+            (unsigned long long)ledger->out_of_room,
+            (unsigned long long)ledger->drained,
+            (unsigned long long)ledger->running,
+            (unsigned long long)fake_store_calls(users->store),
+            (unsigned long long)fake_store_end(users->store, "keyed.nodes"));
     }
     server_reply(conn, 200, "", text, (uint32_t)strlen(text));
 }
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -370,7 +370,7 @@
     set_defaults(&cluster->options);
     apr_pool_create(&cluster->pool, NULL);
     cluster->folder = apr_pstrdup(cluster->pool, mkdtemp(folder));
-    cluster->net = 100 + (uint32_t)getpid() % 128;
+    cluster->net = process_reserve_net();
     start_standins(cluster);
     place_vms(cluster);
     if (cluster->options.has_middle) {
--- a/tests/support/nodes.c
+++ b/tests/support/nodes.c
@@ -42,7 +42,7 @@
             "\"metrics_port\": %d, \"store\": \"127.%u.40.%u:%d\", "
             "\"core_share\": 0.5, \"hold_limit_ms\": 1000, "
             "\"stop_grace_ms\": 50, \"resubmit_ms\": 1300, "
-            "\"stop_limit_ms\": 6000, \"member_ttl_ms\": 1000, "
+            "\"stop_limit_s\": 6.0, \"member_ttl_ms\": 1000, "
             "\"remote_factor\": 1.5}",
             own->address, own->address, kCallersPort, own->address, kReadyPort,
             kPeerPort, kMetricsPort, fleet->net, node + 1, kStorePort);
@@ -80,10 +80,11 @@
     return status == 200;
 }
 
-/// A node that is waited for.
+/// What is waited for of a fleet.
 typedef struct {
     fleet_t *fleet;
     uint32_t node;
+    uint32_t runners;
 } awaited_t;
 
 static bool
@@ -100,6 +101,42 @@
     process_wait_for(is_awaited_ready, &awaited, "a node is ready");
 }
 
+uint64_t
+fleet_owned(const fleet_t *fleet, uint32_t node)
+{
+    static const char gauge[] = "jaytrestle_targets_open ";
+    caller_request_t request = {.limit_ms = kShortLimitMs};
+    uint64_t owned = 0;
+    if (caller_ask(&request, "GET", NULL, "http://%s:%d/metrics",
+                   fleet->nodes[node].address, kMetricsPort) == 200) {
+        const char *at = strstr(request.reply, gauge);
+        owned = at == NULL ? 0 : strtoull(at + strlen(gauge), NULL, 10);
+    }
+    caller_free(&request, 1);
+    return owned;
+}
+
+static bool
+is_fleet_owned(void *state)
+{
+    awaited_t *awaited = state;
+    uint64_t owned = 0;
+    for (uint32_t i = 0; i < awaited->fleet->node_count; i++) {
+        const fleet_node_t *node = &awaited->fleet->nodes[i];
+        if (node->is_running && !node->is_stopped) {
+            owned += fleet_owned(awaited->fleet, i);
+        }
+    }
+    return owned == awaited->runners;
+}
+
+void
+fleet_wait_owned(fleet_t *fleet, uint32_t runners)
+{
+    awaited_t awaited = {.fleet = fleet, .runners = runners};
+    process_wait_for(is_fleet_owned, &awaited, "all runners have an owner");
+}
+
 static bool
 is_users_up(void *state)
 {
@@ -160,7 +197,7 @@
         .dcs = dcs, .runner_count = runners, .node_count = dcs * nodes_of_dc};
     apr_pool_create(&fleet->pool, NULL);
     fleet->folder = apr_pstrdup(fleet->pool, mkdtemp(folder));
-    fleet->net = 100 + (uint32_t)getpid() % 128;
+    fleet->net = process_reserve_net();
     for (uint32_t i = 0; i < fleet->node_count; i++) {
         fleet_node_t *node = &fleet->nodes[i];
         node->dc = 1 + i % dcs;
@@ -175,6 +212,7 @@
     for (uint32_t i = 0; i < fleet->node_count; i++) {
         fleet_wait_ready(fleet, i);
     }
+    fleet_wait_owned(fleet, runners);
 }
 
 void
--- a/tests/support/nodes.h
+++ b/tests/support/nodes.h
@@ -28,7 +28,8 @@
     uint32_t node_count;
 } fleet_t;
 
-/// Starts everything and waits until all nodes are ready.
+/// Starts everything and waits until all nodes are ready and all runners have
+/// an owner.
 void fleet_start(fleet_t *fleet, uint32_t dcs, uint32_t nodes_of_dc,
                  uint32_t runners);
 
@@ -41,6 +42,14 @@
 /// Waits until a node says that it is ready.
 void fleet_wait_ready(fleet_t *fleet, uint32_t node);
 
+/// @return how many runners a node owns that take starts
+uint64_t fleet_owned(const fleet_t *fleet, uint32_t node);
+
+/// Waits until the running nodes own all runners that take starts.
+///
+/// @param runners  how many do
+void fleet_wait_owned(fleet_t *fleet, uint32_t runners);
+
 /// @return whether a node says that it is ready
 bool fleet_is_ready(fleet_t *fleet, uint32_t node);
 
--- a/tests/unit/test_codec.c
+++ b/tests/unit/test_codec.c
@@ -122,6 +122,48 @@
     CU_ASSERT_EQUAL(settings.shards, 2);
 }
 
+/// JSON has one kind of number: 4.0 is as whole as 4, and thousandths have a
+/// least value too.
+static void
+test_numbers(void)
+{
+    dispatch_settings_t settings;
+    node_settings_t node;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    CU_ASSERT_TRUE_FATAL(
+        read_settings("{\"here\": {\"dc\": 1, \"vm\": 2, \"address\": \"::\"},"
+                      "\"shards\": 4.0}",
+                      &settings, &err));
+    CU_ASSERT_EQUAL(settings.shards, 4);
+    static const char text[] =
+        "{\"name\": \"n\", \"dc\": \"a\", \"dcs\": [\"a\"],"
+        "\"address\": \"::\", \"callers\": \"::\", \"ready\": \"::\","
+        "\"peer_port\": 1, \"metrics_port\": 2, \"store\": \"::\","
+        "\"core_share\": 0.25, \"hold_limit_ms\": 1000.0,"
+        "\"stop_grace_ms\": 50, \"member_ttl_ms\": 1000,"
+        "\"stop_limit_s\": %s}";
+    static const struct {
+        const char *stop_limit_s;
+        bool is_read;
+        uint32_t stop_limit_ms;
+    } cases[] = {{"6", true, 6000}, {"6.5", true, 6500}, {"0.5", false, 0}};
+    for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        char whole[kMostBytes];
+        snprintf(whole, sizeof whole, text, cases[i].stop_limit_s);
+        bytes_t bytes = {.data = (const uint8_t *)whole,
+                         .size_bytes = (uint32_t)strlen(whole)};
+        CU_ASSERT_EQUAL_FATAL(json_read(bytes, &node_settings_desc,
+                                        kErrorKindBadSettings, arena, &node,
+                                        &err),
+                              cases[i].is_read);
+        if (cases[i].is_read) {
+            CU_ASSERT_EQUAL(node.stop_limit_ms, cases[i].stop_limit_ms);
+        }
+    }
+    arena_destroy(arena);
+}
+
 /// Each fault names the path, what was found and what is allowed.
 static void
 test_bad_settings(void)
@@ -140,6 +182,9 @@
         {"\"routing\": \"best\"}",
          "routing: found \"best\", allowed is one of random"},
         {"\"port\": 70000}", "port: found 70000"},
+        {"\"shards\": 2.5}", "shards: found 2.5"},
+        {"\"shards\": -2.0}", "shards: found -2.0"},
+        {"\"shards\": 1e30}", "shards: found 1e30"},
     };
     for (uint32_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
         char text[kMostBytes];
@@ -187,6 +232,7 @@
         {"altered messages", test_altered_messages},
         {"claimed counts", test_claimed_counts},
         {"settings", test_settings},
+        {"numbers", test_numbers},
         {"bad settings", test_bad_settings},
         {"json", test_json_back},
         CU_TEST_INFO_NULL};
--- a/tests/unit/test_own.c
+++ b/tests/unit/test_own.c
@@ -155,6 +155,22 @@
     CU_ASSERT_EQUAL(candidate_join_ns(&candidate, 200), INT64_MAX);
 }
 
+/// Nodes that start together must know each other before they choose.
+static void
+test_new_node_gathers_first(void)
+{
+    candidate_t candidate = {.rank = 0,
+                             .wanted_count = 1,
+                             .is_own_dc = true,
+                             .new_since_ns = 100,
+                             .short_since_ns = 100};
+    int64_t join_ns = candidate_join_ns(&candidate, 200);
+    CU_ASSERT(join_ns >= 100 + INT64_C(300000000));
+    CU_ASSERT_EQUAL(candidate_join_ns(&candidate, join_ns + 5), join_ns + 5);
+    candidate.new_since_ns = 0;
+    CU_ASSERT_EQUAL(candidate_join_ns(&candidate, 200), 200);
+}
+
 static void
 test_others_join_in_turn(void)
 {
@@ -190,6 +206,7 @@
 main(void)
 {
     const CU_TestInfo tests[] = {
+        {"a new node gathers first", test_new_node_gathers_first},
         {"a cell keeps its token", test_cell_keeps_its_token},
         {"a moved cell is let go first", test_moved_cell_is_let_go_first},
         {"a cell that comes back stays", test_cell_that_comes_back_stays},
