--- a/src/node/node.c
+++ b/src/node/node.c
@@ -277,6 +277,7 @@
 {
     if (node->listed_ns == 0) {
         node->listed_ns = node_now_ns(node);
+        owner_publish(node);
     }
     node_kick(node);
 }
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -158,7 +158,9 @@
     }
     node->self = members_put(&node->members, &record);
     node->self->is_self = true;
-    node->adapter_ops->publish(node->adapter, &record);
+    if (node->listed_ns != 0) {
+        node->adapter_ops->publish(node->adapter, &record);
+    }
 }
 
 bool
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -20,7 +20,8 @@
 /// @return whether this node owns targets
 bool owner_holds_any(const node_t *node);
 
-/// Publishes the node's record where it changed.
+/// Publishes the node's record, once the records that were there before are
+/// known: it would hide that of an earlier process of this node.
 void owner_publish(node_t *node);
 
 /// Leaves all pools.
