perf(pool): repeat starts and watch targets closely while answers are lost

Cause: where one order in twenty had no answer (applied_late), half of the jobs were late. A rejection of one of several says nothing of the others. - For 3 s after a missing answer, lists wait 50 ms, and 20 ms more for the answer. - A run is stalled only where a list after its time still shows it.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -6,7 +6,11 @@
 
 #include "pool/state.h"
 
-enum { kLineBytes = 320, kUsualPermille = 1000 };
+enum {
+    kLineBytes = 320,
+    kUsualPermille = 1000,
+    kDoubtMs = 3000 ///< that an unanswered call has others watched closely
+};
 
 const char *const reply_kind_names[] = {
     [kReplyDone] = "done",
@@ -170,6 +174,18 @@
     pool->is_closed = true;
 }
 
+void
+pool_doubt(pool_t *pool, int64_t now_ns)
+{
+    pool->doubt_until_ns = now_ns + MS_TO_NS(kDoubtMs);
+}
+
+bool
+pool_is_in_doubt(const pool_t *pool, int64_t now_ns)
+{
+    return pool->doubt_until_ns > now_ns;
+}
+
 static int64_t
 earlier(int64_t left_ns, int64_t right_ns)
 {
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -8,6 +8,10 @@
 
 enum {
     kStartWaitMs = 200,  ///< for the answer to a start; usually 1 to 3 ms
+    kStartSends = 3,     ///< of one start
+    kRepeatMs = 20,      ///< at least, from one of them to the next
+    kRepeatTrips = 4,    ///< at least, usual times to an answer between them
+    kTripWeight = 8,     ///< one part in so many of a new time counts
     kStopWaitMs = 200,   ///< for the answer to a stop
     kStopRepeatMs = 250, ///< between two stops of one run
     kFirstPauseMs = 5,   ///< of a task after its first rejection; most
@@ -46,6 +50,31 @@
     pool->run_count--;
 }
 
+/// Sends the call that starts a run. A target takes it once, however often it
+/// comes.
+static void
+send_start(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    int64_t pause_ns = kRepeatTrips * pool->trip_ns;
+    start_call_t call = {.target = &run->target->info,
+                         .name = run->name,
+                         .payload = run->task->order->order->payload,
+                         .lease_until_ms = run->lease_until_ms,
+                         .token = run->token,
+                         .deadline_ns =
+                             run->started_ns + MS_TO_NS(kStartWaitMs),
+                         .run = run};
+    run->start_count++;
+    run->open_starts++;
+    run->target->open_calls++;
+    run->repeat_due_ns =
+        run->start_count == kStartSends
+            ? INT64_MAX
+            : now_ns + (pause_ns > MS_TO_NS(kRepeatMs) ? pause_ns
+                                                       : MS_TO_NS(kRepeatMs));
+    pool->ops->start(pool->owner, &call);
+}
+
 pool_run_t *
 run_create(pool_t *pool, pool_target_t *target, pool_task_t *task,
            int64_t now_ns)
@@ -64,8 +93,7 @@
                         .accelerators = step->accelerators,
                         .estimate_ms = step->estimate_ms,
                         .started_ns = now_ns,
-                        .token = target->token,
-                        .is_start_open = true};
+                        .token = target->token};
     strncpy(run->name.job, order->job, sizeof run->name.job - 1);
     run->lease_until_ms =
         session_lease_until_ms(target, &pool->limits, now_ns);
@@ -76,22 +104,14 @@
     task->order->is_started = true;
     link_run(pool, run);
     session_note_lease(target, &pool->limits, now_ns);
-    start_call_t call = {.target = &target->info,
-                         .name = run->name,
-                         .payload = order->payload,
-                         .lease_until_ms = run->lease_until_ms,
-                         .token = target->token,
-                         .deadline_ns = now_ns + MS_TO_NS(kStartWaitMs),
-                         .run = run};
-    target->open_calls++;
-    pool->ops->start(pool->owner, &call);
+    send_start(pool, run, now_ns);
     return run;
 }
 
 void
 run_free_over(pool_t *pool, pool_run_t *run)
 {
-    if (!run->is_over || run->is_start_open || run->is_stop_open) {
+    if (!run->is_over || run->open_starts > 0 || run->is_stop_open) {
         return;
     }
     pool_target_t *target = run->target;
@@ -187,13 +207,36 @@
     run_advance(pool, run, now_ns);
 }
 
-/// Sends a stop that is due. A run whose start is open is stopped when the
-/// answer comes, so that the stop cannot overtake the start.
+/// Sends a start again that has had no answer for long.
+///
+/// @return when to look next
+static int64_t
+repeat_start(pool_t *pool, pool_run_t *run, int64_t now_ns)
+{
+    if (run->state != kRunStarting || run->task == NULL ||
+        run->target->is_dropped || run->token != run->target->token) {
+        return INT64_MAX;
+    }
+    if (run->repeat_due_ns <= now_ns) {
+        counter_add(kCounterStartsRepeated, 1);
+        pool_doubt(pool, now_ns);
+        send_start(pool, run, now_ns);
+    }
+    return run->repeat_due_ns;
+}
+
+/// Sends a stop that is due, or a start once more. A run is stopped when an
+/// answer to its start has come, so that the stop cannot overtake it.
 int64_t
 run_advance(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    if (run->is_over || run->stop_due_ns == 0 || run->is_stop_open ||
-        run->is_start_open) {
+    if (run->is_over || run->is_stop_open) {
+        return INT64_MAX;
+    }
+    if (run->state == kRunStarting) {
+        return repeat_start(pool, run, now_ns);
+    }
+    if (run->stop_due_ns == 0) {
         return INT64_MAX;
     }
     if (run->stop_due_ns <= now_ns && !run->target->is_dropped) {
@@ -231,21 +274,33 @@
 }
 
 static void
-note_reply(pool_t *pool, const pool_run_t *run, const call_reply_t *reply)
+note_reply(pool_t *pool, const pool_run_t *run, reply_kind_t kind)
 {
-    if (reply->kind != kReplyDone) {
+    if (kind != kReplyDone) {
         pool->ops->note(pool->owner, "start_rejected", run->name.job,
-                        reply_kind_names[reply->kind]);
+                        reply_kind_names[kind]);
     }
 }
 
+/// @return what the last answer to the calls of one start says of the run:
+///         a rejection of one of several says nothing of the others
+static reply_kind_t
+judge_start(const pool_run_t *run, reply_kind_t kind)
+{
+    return kind == kReplyDone || run->start_count == 1 ? kind
+                                                       : kReplyUnanswered;
+}
+
 static void
 take_done(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    (void)pool;
     counter_add(kCounterRunsStarted, 1);
     run->state = kRunActive;
-    run->started_ns = now_ns;
+    if (run->start_count == 1) {
+        pool->trip_ns +=
+            (now_ns - run->started_ns - pool->trip_ns) / kTripWeight;
+        run->started_ns = now_ns;
+    }
     run->target->mute_count = 0;
     run->target->list_due_ns = now_ns;
 }
@@ -321,11 +376,13 @@
 pool_take_start(pool_t *pool, pool_run_t *run, const call_reply_t *reply,
                 int64_t now_ns)
 {
-    run->is_start_open = false;
+    run->open_starts--;
     run->target->open_calls--;
-    if (!run->is_over) {
-        note_reply(pool, run, reply);
-        take_table[reply->kind](pool, run, now_ns);
+    if (!run->is_over && run->state == kRunStarting &&
+        (reply->kind == kReplyDone || run->open_starts == 0)) {
+        reply_kind_t kind = judge_start(run, reply->kind);
+        note_reply(pool, run, kind);
+        take_table[kind](pool, run, now_ns);
     }
     run_advance(pool, run, now_ns);
     run_free_over(pool, run);
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -11,6 +11,9 @@
         30,               ///< of the lease that a list waits for an end; the
                           ///< news of an end is that late when a list is lost
     kListSlackMs = 150,   ///< for the answer, beyond the wait
+    kDoubtWaitMs = 50,    ///< as above, while answers are lost
+    kDoubtSlackMs = 20,   ///< as above, while answers are lost
+    kDoubtTrips = 4,      ///< usual times to an answer in that slack
     kNewSlackMs = 350,    ///< for the answer of a target that is not known
     kMuteCalls = 2,       ///< calls in a row without an answer
     kStrangerLookMs = 25, ///< between two lists while runs of others stop
@@ -86,6 +89,9 @@
 void
 session_note_silence(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
+    if (target->session == kSessionReady) {
+        pool_doubt(pool, now_ns);
+    }
     target->mute_count++;
     if (target->mute_count >= kMuteCalls || target->session != kSessionReady) {
         session_go_mute(pool, target, now_ns);
@@ -161,28 +167,48 @@
     target->fail_count = kEjectFailures - 1;
 }
 
+/// @return how long a list waits for an end
+static uint32_t
+list_wait_ms(const pool_t *pool, int64_t now_ns)
+{
+    uint32_t wait_ms = pool->limits.lease_ms * kWaitSharePercent / 100;
+    return pool_is_in_doubt(pool, now_ns) && wait_ms > kDoubtWaitMs
+               ? (uint32_t)kDoubtWaitMs
+               : wait_ms;
+}
+
+/// @return how long the answer to a list may take beyond its wait
+static int64_t
+list_slack_ns(const pool_t *pool, int64_t now_ns)
+{
+    int64_t slack_ns = MS_TO_NS(kDoubtSlackMs) + kDoubtTrips * pool->trip_ns;
+    return pool_is_in_doubt(pool, now_ns) && slack_ns < MS_TO_NS(kListSlackMs)
+               ? slack_ns
+               : MS_TO_NS(kListSlackMs);
+}
+
 static void
 send_list(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
     bool renews = target->run_count > 0 && target->session == kSessionReady;
-    uint32_t wait_ms =
-        renews ? pool->limits.lease_ms * kWaitSharePercent / 100 : 0;
-    list_call_t call = {.target = &target->info,
-                        .token = target->token,
-                        .acked = target->acked,
-                        .wait_ms = wait_ms,
-                        .needs_fresh = target->session == kSessionMute,
-                        .deadline_ns =
-                            now_ns + MS_TO_NS(renews ? wait_ms + kListSlackMs
-                                                     : (uint32_t)kNewSlackMs),
-                        .list = target};
+    uint32_t wait_ms = renews ? list_wait_ms(pool, now_ns) : 0;
+    list_call_t call = {
+        .target = &target->info,
+        .token = target->token,
+        .acked = target->acked,
+        .wait_ms = wait_ms,
+        .needs_fresh = target->session == kSessionMute,
+        .deadline_ns =
+            now_ns + (renews ? MS_TO_NS(wait_ms) + list_slack_ns(pool, now_ns)
+                             : MS_TO_NS(kNewSlackMs)),
+        .list = target};
     if (renews) {
         call.lease_until_ms =
             session_lease_until_ms(target, &pool->limits, now_ns);
         session_note_lease(target, &pool->limits, now_ns);
     }
     target->is_list_open = true;
-    target->is_list_waiting = renews;
+    target->list_wait_ms = wait_ms;
     target->list_sent_ns = now_ns;
     target->list_token = target->token;
     target->list_due_ns = INT64_MAX;
@@ -269,7 +295,7 @@
             run->state == kRunActive && run->started_ns < target->list_sent_ns;
         bool is_too_late =
             run->state == kRunUnsure && reply->clock_ms > run->lease_until_ms;
-        if (!run->is_over && !run->is_start_open &&
+        if (!run->is_over && run->open_starts == 0 &&
             (was_there || is_too_late) && !is_listed(reply, &run->name)) {
             run_end(pool, run, kRunEndLapsed, now_ns);
             run_free_over(pool, run);
@@ -329,11 +355,8 @@
         take_new_life(pool, target, reply->born_ms);
         acked_sent = 0;
     }
-    int64_t wait_ns =
-        target->is_list_waiting
-            ? MS_TO_NS(pool->limits.lease_ms) * kWaitSharePercent / 100
-            : 0;
-    take_clock(target, reply->clock_ms, target->list_sent_ns, wait_ns, now_ns);
+    take_clock(target, reply->clock_ms, target->list_sent_ns,
+               MS_TO_NS(target->list_wait_ms), now_ns);
     target->acked_sent = acked_sent;
     bool was_new = target->session != kSessionReady;
     take_ends(pool, target, reply, now_ns);
@@ -408,6 +431,9 @@
     if (due_ns > now_ns) {
         return due_ns;
     }
+    if (target->clock_ns < due_ns) {
+        return INT64_MAX; // no list since then: it may have ended
+    }
     pool->ops->note(pool->owner, "run_stalled", run->name.job,
                     target->info.id);
     run->task->move_count++;
@@ -423,7 +449,7 @@
     pool_run_t *next;
     for (pool_run_t *run = target->runs; run != NULL; run = next) {
         next = run->next;
-        if (!run->is_start_open) {
+        if (run->open_starts == 0) {
             run_end(pool, run, kRunEndLapsed, now_ns);
             run_free_over(pool, run);
         }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -67,8 +67,10 @@
     uint64_t lease_until_ms; ///< of its start, on the target's clock
     uint64_t token;          ///< that its start carried
     int64_t started_ns;
-    int64_t stop_due_ns; ///< when to send the next stop; 0: not stopping
-    bool is_start_open;
+    int64_t stop_due_ns;   ///< when to send the next stop; 0: not stopping
+    uint32_t start_count;  ///< calls sent to start it, all the same
+    uint32_t open_starts;  ///< of these, not answered yet
+    int64_t repeat_due_ns; ///< when to send the next of them
     bool is_stop_open;
     bool is_over; ///< off the target; waits for open calls only
 };
@@ -92,7 +94,7 @@
     uint32_t run_count;
     uint32_t open_calls;
     bool is_list_open;
-    bool is_list_waiting; ///< the open list waits for an end
+    uint32_t list_wait_ms; ///< that the open list waits for an end
     int64_t list_sent_ns;
     uint64_t list_token;    ///< that the open list carries
     int64_t list_due_ns;    ///< when to send the next list; INT64_MAX: never
@@ -124,9 +126,15 @@
     uint32_t order_count;
     uint32_t run_count;
     uint32_t bias_permille; ///< mean of run time against the estimate
+    int64_t trip_ns;        ///< smoothed time from a start to its answer
+    int64_t doubt_until_ns; ///< calls go without answers until then
     bool is_closed;
 };
 
+/// pool.c
+void pool_doubt(pool_t *pool, int64_t now_ns);
+bool pool_is_in_doubt(const pool_t *pool, int64_t now_ns);
+
 /// sessions.c
 uint64_t session_lease_until_ms(const pool_target_t *target,
                                 const pool_limits_t *limits, int64_t now_ns);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -3,6 +3,7 @@
 
 #include <apr_general.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "support/suite.h"
@@ -368,6 +369,43 @@
     world_clear(&world);
 }
 
+enum { kLossyJobs = 400, kLossyGapMs = 40, kLossyBase = 4096 };
+
+static int64_t lossy_sent_ns[kLossyJobs];
+static uint32_t lossy_in_time;
+
+static void
+note_in_time(world_t *of, uint32_t pool, const pool_settled_t *settled)
+{
+    (void)pool;
+    uint64_t job = strtoull(settled->job, NULL, 16) - kLossyBase;
+    lossy_in_time += settled->outcome == kOrderOutcomeComplete &&
+                     of->now_ns - lossy_sent_ns[job] <= MS(100 * 16 / 10 + 60);
+}
+
+/// One call in twenty has no answer and is carried out late: at least 0.9 of
+/// the jobs still end within their objective where there is room.
+static void
+test_lost_calls_delay_few_jobs(void)
+{
+    open_world(24, 5);
+    lossy_in_time = 0;
+    world.on_settled = note_in_time;
+    world.odds = (world_odds_t){.late_permille = 50};
+    for (uint32_t i = 0; i < kLossyJobs; i++) {
+        char job[16];
+        snprintf(job, sizeof job, "%x", kLossyBase + i);
+        lossy_sent_ns[i] = world.now_ns;
+        world_order(&world, 0, job, 4, 100, 0);
+        pass_ms(kLossyGapMs);
+    }
+    pass_ms(3000);
+    printf("in time: %u of %d ", lossy_in_time, kLossyJobs);
+    CU_ASSERT(lossy_in_time >= kLossyJobs * 9 / 10);
+    CU_ASSERT_EQUAL(world.tally.doubles, 0);
+    world_clear(&world);
+}
+
 /// Seeds that failed once: a run that a new life of its target had taken was
 /// counted as ended with the life before (46, 88, 209); 44 and 103 came from
 /// late orders that the world carried out in another life.
@@ -407,6 +445,7 @@
         {"rejections are paced", test_rejections_are_paced},
         {"overload is refused at once", test_overload_is_refused_at_once},
         {"urgent orders go first", test_urgent_goes_first},
+        {"lost calls delay few jobs", test_lost_calls_delay_few_jobs},
         {"no double under faults", test_no_double_under_faults},
         CU_TEST_INFO_NULL,
     };
