--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -174,18 +174,21 @@
     pool->is_closed = true;
 }
 
-void
-pool_doubt(pool_t *pool, int64_t now_ns)
-{
-    pool->doubt_until_ns = now_ns + MS_TO_NS(kDoubtMs);
-}
-
 bool
 pool_is_in_doubt(const pool_t *pool, int64_t now_ns)
 {
     return pool->doubt_until_ns > now_ns;
 }
 
+void
+pool_doubt(pool_t *pool, const pool_target_t *target, int64_t now_ns)
+{
+    if (!pool_is_in_doubt(pool, now_ns)) {
+        pool->ops->note(pool->owner, "answer_missing", "", target->info.id);
+    }
+    pool->doubt_until_ns = now_ns + MS_TO_NS(kDoubtMs);
+}
+
 static int64_t
 earlier(int64_t left_ns, int64_t right_ns)
 {
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -7,12 +7,13 @@
 #include "pool/state.h"
 
 enum {
-    kStartWaitMs = 200,  ///< for the answer to a start; usually 1 to 3 ms
-    kStartSends = 3,     ///< of one start
-    kRepeatMs = 20,      ///< at least, from one of them to the next
-    kRepeatTrips = 4,    ///< at least, usual times to an answer between them
-    kTripWeight = 8,     ///< one part in so many of a new time counts
-    kStopWaitMs = 200,   ///< for the answer to a stop
+    kStartWaitMs = 200, ///< for the answer to a start; usually 1 to 3 ms
+    kStartSends = 3,    ///< of one start
+    kRepeatMs = 30,     ///< at least, from one of them to the next; a wide job
+                        ///< takes a small VM 20 ms to start
+    kRepeatTrips = 4,   ///< at least, usual times to an answer between them
+    kTripWeight = 8,    ///< one part in so many of a new time counts
+    kStopWaitMs = 200,  ///< for the answer to a stop
     kStopRepeatMs = 250, ///< between two stops of one run
     kFirstPauseMs = 5,   ///< of a task after its first rejection; most
                          ///< rejections are of one target only
@@ -219,7 +220,6 @@
     }
     if (run->repeat_due_ns <= now_ns) {
         counter_add(kCounterStartsRepeated, 1);
-        pool_doubt(pool, now_ns);
         send_start(pool, run, now_ns);
     }
     return run->repeat_due_ns;
@@ -378,6 +378,9 @@
 {
     run->open_starts--;
     run->target->open_calls--;
+    if (reply->kind == kReplyUnanswered) {
+        pool_doubt(pool, run->target, now_ns);
+    }
     if (!run->is_over && run->state == kRunStarting &&
         (reply->kind == kReplyDone || run->open_starts == 0)) {
         reply_kind_t kind = judge_start(run, reply->kind);
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -90,7 +90,7 @@
 session_note_silence(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
     if (target->session == kSessionReady) {
-        pool_doubt(pool, now_ns);
+        pool_doubt(pool, target, now_ns);
     }
     target->mute_count++;
     if (target->mute_count >= kMuteCalls || target->session != kSessionReady) {
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -132,7 +132,8 @@
 };
 
 /// pool.c
-void pool_doubt(pool_t *pool, int64_t now_ns);
+/// Notes that a call has no answer: others are watched closely for a while.
+void pool_doubt(pool_t *pool, const pool_target_t *target, int64_t now_ns);
 bool pool_is_in_doubt(const pool_t *pool, int64_t now_ns);
 
 /// sessions.c
