--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -12,6 +12,8 @@
     kBeatMs = 150,      ///< on a link with orders on their way
     kIdleBeatMs = 1000, ///< on any other link
     kIdleSilenceMs = 2500,
+    kConnectMs = 250, ///< to the peer's hello; the first packet of a
+                      ///< connection that was lost comes again after a second
     kReconnectMs = 300,
     kReconnectLimitMs = 3000,
     kDoubtMs = 350,      ///< of silence, after which new jobs go elsewhere
@@ -27,7 +29,8 @@
     char address[46];
     char dc[64];
     uint16_t port;
-    conn_t *conn; ///< NULL while there is none
+    uint64_t nonce; ///< of the process that wrote its record
+    conn_t *conn;   ///< NULL while there is none
     bool is_up;
     bool is_owner;
     bool is_leaving;
@@ -165,16 +168,20 @@
     }
     bool has_moved = strcmp(peer->address, record->address) != 0 ||
                      peer->port != record->port;
+    bool is_new = has_moved || peer->nonce != record->nonce;
     strncpy(peer->address, record->address, sizeof peer->address - 1);
     strncpy(peer->dc, record->dc, sizeof peer->dc - 1);
     peer->port = record->port;
+    peer->nonce = record->nonce;
     peer->is_owner = record->pools_count > 0;
     peer->is_leaving = record->is_leaving;
     peer->is_known = true;
-    if (has_moved && peer->conn != NULL) {
+    // A record may be late: a link that is up knows better which process runs.
+    bool is_stale = has_moved || (is_new && !peer->is_up);
+    if (is_stale && peer->conn != NULL) {
         conn_close(peer->conn);
     }
-    if (has_moved) {
+    if (is_stale) {
         peer->failures = 0;
         peer->connect_due_ns = 0;
     }
@@ -220,9 +227,9 @@
 beat(peer_t *peer, int64_t now_ns)
 {
     bool is_busy = peer->order_count > 0;
-    int64_t silence_ns = is_busy || !peer->is_up
-                             ? home_silence_ns(peer->node)
-                             : (int64_t)kIdleSilenceMs * kNsPerMs;
+    int64_t silence_ns = !peer->is_up ? (int64_t)kConnectMs * kNsPerMs
+                         : is_busy    ? home_silence_ns(peer->node)
+                                      : (int64_t)kIdleSilenceMs * kNsPerMs;
     if (peer->conn->heard_ns + silence_ns <= now_ns) {
         log_event("peer_silent", "peer=%s orders=%u", peer->name,
                   peer->order_count);
@@ -255,7 +262,7 @@
         }
         else if (is_wanted && peer->connect_due_ns <= now_ns) {
             connect_peer(peer, now_ns);
-            peer_due_ns = now_ns + home_silence_ns(node);
+            peer_due_ns = now_ns + (int64_t)kConnectMs * kNsPerMs;
         }
         else if (is_wanted) {
             peer_due_ns = peer->connect_due_ns;
