--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -19,9 +19,7 @@
     kDoubtMs = 350,      ///< of silence, after which new jobs go elsewhere
     kNewsLifeMs = 1000,  ///< after which news of a pool says nothing
     kFullPenaltyMs = 40, ///< for a pool without room for the whole job
-    kFarPenaltyMs = 8,   ///< for a pool of another data centre
-    kLeavingPenaltyMs =
-        1000 ///< for an owner that is stopping: the last choice
+    kFarPenaltyMs = 8    ///< for a pool of another data centre
 };
 
 struct peer {
@@ -319,7 +317,7 @@
 static bool
 is_usable(const peer_t *peer, int64_t now_ns)
 {
-    return peer->is_up && peer->is_owner &&
+    return peer->is_up && peer->is_owner && !peer->is_leaving &&
            (peer->order_count == 0 ||
             now_ns - peer->conn->heard_ns < (int64_t)kDoubtMs * kNsPerMs);
 }
@@ -332,11 +330,11 @@
     int64_t best_ms = INT64_MAX;
     peer_t *best = NULL;
     *is_self = false;
-    if (owner_holds_any(node) && !was_tried(job, node)) {
+    if (owner_holds_any(node) && !was_tried(job, node) &&
+        !atomic_load(&node->is_draining)) {
         pool_news_t news = pool_read_news(node->pool, now_ns);
         best_ms = penalty_ms((int64_t)news.free_mcores, news.backlog_ms, true,
-                             needed) +
-                  (atomic_load(&node->is_draining) ? kLeavingPenaltyMs : 0);
+                             needed);
         *is_self = true;
     }
     for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
@@ -348,8 +346,7 @@
         int64_t free_mcores = is_fresh ? peer->free_mcores : INT64_MAX;
         int64_t cost_ms =
             penalty_ms(free_mcores, is_fresh ? peer->backlog_ms : 0,
-                       strcmp(peer->dc, node->settings->dc) == 0, needed) +
-            (peer->is_leaving ? kLeavingPenaltyMs : 0);
+                       strcmp(peer->dc, node->settings->dc) == 0, needed);
         if (cost_ms < best_ms) {
             best_ms = cost_ms;
             best = peer;
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -219,17 +219,15 @@
 {
     int64_t wait_ns = place_wait_ns(pool, order, now_ns);
     *wait_ms = (uint32_t)(wait_ns / MS_TO_NS(1) % UINT32_MAX);
+    if (pool->is_closed) {
+        return kErrorKindDraining;
+    }
     if (!place_could_ever(pool, order)) {
         return place_has_ready(pool) ? kErrorKindNoFit
                                      : kErrorKindNoDispatcher;
     }
     int64_t work_ns = MS_TO_NS(chain_ms(order)) / 1000 * pool->bias_permille;
     int64_t finish_ns = MS_TO_NS(order->waited_ms) + wait_ns + work_ns;
-    if (pool->is_closed) {
-        return wait_ns == 0 && work_ns <= place_longest_ns(pool, now_ns)
-                   ? kErrorKindOk
-                   : kErrorKindDraining;
-    }
     return wait_ns == 0 || finish_ns <= objective_ns * kAdmitPercent / 100
                ? kErrorKindOk
                : kErrorKindOverload;
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -261,31 +261,6 @@
     return (a > b) - (a < b);
 }
 
-/// @return the expected time until a run ends
-static int64_t
-left_ns(const pool_t *pool, const pool_run_t *run, int64_t now_ns)
-{
-    int64_t left = run->started_ns +
-                   place_expected_ns(pool, run->estimate_ms, run->target) -
-                   now_ns;
-    return left > MS_TO_NS(kLeastLeftMs) ? left : MS_TO_NS(kLeastLeftMs);
-}
-
-int64_t
-place_longest_ns(const pool_t *pool, int64_t now_ns)
-{
-    int64_t longest_ns = 0;
-    for (const pool_target_t *target = pool->first_target; target != NULL;
-         target = target->next) {
-        for (const pool_run_t *run = target->runs; run != NULL;
-             run = run->next) {
-            int64_t left = run->is_over ? 0 : left_ns(pool, run, now_ns);
-            longest_ns = left > longest_ns ? left : longest_ns;
-        }
-    }
-    return longest_ns;
-}
-
 /// Notes when the runs of a target are expected to end.
 static void
 read_ends(const pool_t *pool, const pool_target_t *target, line_t *line,
@@ -295,7 +270,12 @@
         if (run->is_over) {
             continue;
         }
-        line->ends_ns[line->end_count++] = left_ns(pool, run, now_ns);
+        int64_t left_ns = run->started_ns +
+                          place_expected_ns(pool, run->estimate_ms, target) -
+                          now_ns;
+        line->ends_ns[line->end_count++] = left_ns > MS_TO_NS(kLeastLeftMs)
+                                               ? left_ns
+                                               : MS_TO_NS(kLeastLeftMs);
     }
 }
 
@@ -349,8 +329,7 @@
     line.ends_ns = malloc((pool->run_count + 1) * sizeof *line.ends_ns);
     read_line(pool, order, step, &line, now_ns);
     qsort(line.ends_ns, line.end_count, sizeof *line.ends_ns, compare_ns);
-    // A pool that is closing takes only what fits whole.
-    bool can_begin = !pool->is_closed && line.ahead_count < line.free_count;
+    bool can_begin = line.ahead_count < line.free_count;
     int64_t wait_ns = can_begin ? 0 : guess_wait_ns(&line, step->task_count);
     free(line.ends_ns);
     return wait_ns;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -184,8 +184,7 @@
 /// Stops all orders of a client that is out of reach.
 void pool_drop_client(pool_t *pool, uint64_t client, int64_t now_ns);
 
-/// Takes from now on only orders that can begin at once and are expected to
-/// end before the longest run does, as the node is stopping.
+/// Refuses new orders from now on, as the node is stopping.
 void pool_close(pool_t *pool);
 
 /// Answers to calls.
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -172,7 +172,6 @@
 void place_all(pool_t *pool, int64_t now_ns);
 int64_t place_wait_ns(const pool_t *pool, const order_t *order,
                       int64_t now_ns);
-int64_t place_longest_ns(const pool_t *pool, int64_t now_ns);
 uint32_t place_backlog_ms(const pool_t *pool, uint32_t priority);
 bool place_has_ready(const pool_t *pool);
 bool place_could_ever(const pool_t *pool, const order_t *order);
