perf(own): a restarted node leaves the pools of its earlier process

A node that finds the record of an earlier process of its own leaves for it; tokens fence that process if it should live on.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -186,8 +186,7 @@
                     .describe = node_describe,
                     .owner = node};
     node->advance.run = on_advance;
-    snprintf(node->member, sizeof node->member, "%s.%016llx", settings->name,
-             (unsigned long long)node->control.hello.nonce);
+    owner_name_member(node->member, settings->name, node->control.hello.nonce);
     loop_timer_init(&node->timer, on_timer, node);
     loop_timer_init(&node->beat, on_beat, node);
     owner_init(node);
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -1,6 +1,7 @@
 #include "node/owner.h"
 
 #include <apr_strings.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "node/guests.h"
@@ -383,13 +384,37 @@
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
+void
+owner_name_member(char name[kMemberBytes], const char *node, uint64_t nonce)
+{
+    snprintf(name, kMemberBytes, "%s.%016llx", node,
+             (unsigned long long)nonce);
+}
+
+/// Leaves the pools of an earlier process of this node, which is gone: its
+/// cells need not wait for the end of its time to live.
+static void
+leave_for_earlier(node_t *node, const node_record_t *record)
+{
+    char member[kMemberBytes];
+    owner_name_member(member, record->name, record->nonce);
+    for (uint32_t i = 0; i < record->pools_count; i++) {
+        log_event("pool_left", "dc=%s reason=\"earlier process\"",
+                  record->pools[i]);
+        node->adapter_ops->leave(node->adapter, record->pools[i], member);
+    }
+}
+
 void
 node_take_own_record(node_t *node, const node_record_t *record)
 {
     bool is_right = record != NULL && member_has_record(node->self, record);
-    // The records of the others are in the same list.
-    node->is_restarted |= node->listed_ns == 0 && record != NULL &&
-                          record->nonce != node->self->record->nonce;
+    if (node->listed_ns == 0 && record != NULL &&
+        record->nonce != node->self->record->nonce) {
+        // The records of the others are in the same list.
+        node->is_restarted = true;
+        leave_for_earlier(node, record);
+    }
     if (is_right) {
         node->repair_due_ns = 0;
         node->repair_count = 0;
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -9,6 +9,10 @@
 ///         has noticed the silence, or its last lease is over.
 pool_limits_t owner_limits(const node_settings_t *settings);
 
+/// Writes the name that a process of a node has in groups.
+void owner_name_member(char name[kMemberBytes], const char *node,
+                       uint64_t nonce);
+
 /// Creates the pool and the tables of the data centres.
 void owner_init(node_t *node);
 
--- a/tests/functional/test_node.c
+++ b/tests/functional/test_node.c
@@ -210,6 +210,29 @@
     fleet_end(&fleet);
 }
 
+static bool
+is_first_sole_owner(void *state)
+{
+    (void)state;
+    return fleet_owned(&fleet, 0) == kRunners;
+}
+
+/// The cells of a process that was killed need not lapse where it starts
+/// again.
+static void
+test_restarted_owner_leaves_for_earlier(void)
+{
+    fleet_start(&fleet, 1, 2, kRunners);
+    process_wait_for(is_first_sole_owner, NULL, "the first node owns all");
+    uint64_t before = fleet_ledger(&fleet, "leaves");
+    fleet_signal(&fleet, 0, SIGKILL);
+    process_join(&fleet.nodes[0].process);
+    fleet_start_node(&fleet, 0);
+    fleet_wait_owned(&fleet, kRunners);
+    CU_ASSERT(fleet_ledger(&fleet, "leaves") > before);
+    fleet_end(&fleet);
+}
+
 static bool
 is_served_by_all(void *state)
 {
@@ -221,13 +244,6 @@
     return is_served;
 }
 
-static bool
-is_first_sole_owner(void *state)
-{
-    (void)state;
-    return fleet_owned(&fleet, 0) == kRunners;
-}
-
 static void
 test_late_records_are_repaired(void)
 {
@@ -294,6 +310,8 @@
         {"a frozen owner is replaced", test_frozen_owner_is_replaced},
         {"an outage of the store is borne", test_store_outage_is_borne},
         {"the configuration takes effect", test_configuration_takes_effect},
+        {"a restarted owner leaves for its earlier process",
+         test_restarted_owner_leaves_for_earlier},
         {"late records of nodes are repaired", test_late_records_are_repaired},
         {"silent connections are replaced",
          test_silent_connections_are_replaced},
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -67,6 +67,7 @@
     fake_store_faults_t faults;
     rng_t rng;
     uint64_t calls;
+    uint64_t leaves;
     loop_timer_t tick;
 };
 
@@ -425,6 +426,7 @@
     group_t *group = find_group(store, read_text(body, "group"));
     int32_t at = find_member(group, read_text(body, "member"));
     if (at >= 0) {
+        store->leaves++;
         group->members[at].lapse_ns = 0;
         deal(group);
         hand_over(group);
@@ -563,6 +565,12 @@
     return find_topic(store, topic)->end;
 }
 
+uint64_t
+fake_store_leaves(const fake_store_t *store)
+{
+    return store->leaves;
+}
+
 uint64_t
 fake_store_calls(const fake_store_t *store)
 {
