--- a/src/node/home.c
+++ b/src/node/home.c
@@ -15,7 +15,9 @@
     kAnswerGraceMs = 300,   ///< beyond the caller's deadline
     kNoOwnerRetryMs = 1000, ///< told to callers while no owner is known
     kDrainRetryMs = 1000,   ///< told to callers of a stopping node
-    kJobRoomMs = 2000       ///< that a new job of a stopping node needs
+    kJobRoomFactor = 3, ///< times its objective that a new job of a stopping
+                        ///< node needs: estimates are off by up to as much
+    kJobRoomMs = 2000   ///< that it needs at most
 };
 
 int64_t
@@ -99,18 +101,24 @@
     return true;
 }
 
-/// @return until when a job may wait for an owner
+/// @return the time in which a job should be answered
 static int64_t
-hold_limit_ns(const caller_job_t *job)
+objective_ns(const caller_job_t *job)
 {
     uint64_t work_ms = 0;
     for (uint32_t i = 0; i < job->order.steps_count; i++) {
         work_ms += job->order.steps[i].estimate_ms;
     }
-    uint64_t objective_ms =
-        work_ms * job->order.stretch_permille / 1000 + job->order.slo_ms;
-    return job->received_ns +
-           (int64_t)(objective_ms * kHoldPercent / 100) * kNsPerMs;
+    return (int64_t)(work_ms * job->order.stretch_permille / 1000 +
+                     job->order.slo_ms) *
+           kNsPerMs;
+}
+
+/// @return until when a job may wait for an owner
+static int64_t
+hold_limit_ns(const caller_job_t *job)
+{
+    return job->received_ns + objective_ns(job) * kHoldPercent / 100;
 }
 
 /// Has a job wait for an owner, as one is about to take over.
@@ -136,14 +144,17 @@
     return kind == kErrorKindNoDispatcher || kind == kErrorKindDraining;
 }
 
-/// @return whether the stop of this node leaves no time for another job
+/// @return whether the stop of this node leaves no time for a new job
 static bool
-is_too_late(const node_t *node)
+is_too_late(const caller_job_t *job)
 {
+    const node_t *node = job->node;
+    int64_t room_ns = objective_ns(job) * kJobRoomFactor;
+    int64_t most_ns = (int64_t)kJobRoomMs * kNsPerMs;
+    room_ns = room_ns < most_ns ? room_ns : most_ns;
     return atomic_load(&node->is_closed) ||
            (node->stop_ns != 0 &&
-            clock_now_ns() >
-                node_stop_limit_ns(node) - (int64_t)kJobRoomMs * kNsPerMs);
+            clock_now_ns() > node_stop_limit_ns(node) - room_ns);
 }
 
 void
@@ -152,7 +163,7 @@
     node_t *node = job->node;
     node_now_ns(node);
     link_job(node, job);
-    if (is_too_late(node)) {
+    if (is_too_late(job)) {
         settle(job, kOrderOutcomeRefused, kErrorKindDraining, kDrainRetryMs);
     }
     else if (!assign(job) && !hold_job(job)) {
