--- a/src/node/node.c
+++ b/src/node/node.c
@@ -10,6 +10,7 @@
 #include "node/home.h"
 #include "node/owner.h"
 #include "node/peers.h"
+#include "node/record.h"
 #include "shell/app.h"
 #include "shell/clock.h"
 #include "shell/log.h"
@@ -186,7 +187,8 @@
                     .describe = node_describe,
                     .owner = node};
     node->advance.run = on_advance;
-    owner_name_member(node->member, settings->name, node->control.hello.nonce);
+    record_name_member(node->member, settings->name,
+                       node->control.hello.nonce);
     loop_timer_init(&node->timer, on_timer, node);
     loop_timer_init(&node->beat, on_beat, node);
     owner_init(node);
@@ -205,7 +207,7 @@
     if (node->listener == NULL) {
         return false;
     }
-    owner_publish(node);
+    record_publish(node);
     loop_timer_set(node->loop, &node->beat, clock_deadline_ns(kBeatMs));
     return true;
 }
@@ -218,7 +220,7 @@
     atomic_store(&node->is_draining, true);
     atomic_store(&node->is_ready, false);
     pool_close(node->pool);
-    owner_publish(node);
+    record_publish(node);
     node_kick(node);
 }
 
@@ -276,7 +278,7 @@
 {
     if (node->listed_ns == 0) {
         node->listed_ns = node_now_ns(node);
-        owner_publish(node);
+        record_publish(node);
     }
     node_kick(node);
 }
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -1,11 +1,12 @@
 #include "node/owner.h"
 
 #include <apr_strings.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "node/guests.h"
 #include "node/home.h"
+#include "node/known.h"
+#include "node/record.h"
 #include "shell/clock.h"
 #include "shell/log.h"
 
@@ -19,151 +20,9 @@
     kLeavingLimitMs = 2500, ///< for the runs of leaving cells to end
     kLeavingLookMs = 40,    ///< between two looks at them
     kProbeMs = 500,         ///< between two probes of a data centre
-    kProbeLifeMs = 1000,    ///< that an answer to a probe counts for
-    kRepairMs = 500, ///< that a record may differ from what was published; a
-                     ///< write takes far less to come back
-    kRepairDoublings = 6 ///< of that time, as two processes of one name would
-                         ///< write in turns
+    kProbeLifeMs = 1000     ///< that an answer to a probe counts for
 };
 
-/// A target that the platform lists.
-typedef struct known_target {
-    struct known_target *next;
-    struct known_target *prev;
-    pool_target_info_t info;
-    dc_pool_t *pool;
-} known_target_t;
-
-static dc_pool_t *
-find_dc(node_t *node, const char *dc)
-{
-    for (uint32_t i = 0; i < node->dc_count; i++) {
-        if (strcmp(node->dcs[i].dc, dc) == 0) {
-            return &node->dcs[i];
-        }
-    }
-    return NULL;
-}
-
-/// Gives a target to the pool, or takes it away, as its cell is held or not.
-static void
-place_target(node_t *node, const known_target_t *known, int64_t now_ns)
-{
-    const cells_t *cells = &known->pool->cells;
-    uint64_t token = cells->tokens[cells_find(cells, known->info.id)];
-    if (token != 0) {
-        pool_target_info_t info = known->info;
-        info.is_draining |=
-            cells->is_leaving[cells_find(cells, known->info.id)];
-        pool_put_target(node->pool, &info, token, now_ns);
-    }
-    else {
-        pool_drop_target(node->pool, known->info.id, now_ns);
-    }
-}
-
-static void
-place_targets(node_t *node, const dc_pool_t *pool, int64_t now_ns)
-{
-    for (const known_target_t *known = node->known; known != NULL;
-         known = known->next) {
-        if (known->pool == pool) {
-            place_target(node, known, now_ns);
-        }
-    }
-}
-
-static known_target_t *
-add_known(node_t *node, const pool_target_info_t *info, dc_pool_t *pool)
-{
-    known_target_t *known = calloc(1, sizeof *known);
-    known->info = *info;
-    known->pool = pool;
-    known->next = node->known;
-    if (node->known != NULL) {
-        node->known->prev = known;
-    }
-    node->known = known;
-    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, known);
-    return known;
-}
-
-static void
-remove_known(node_t *node, known_target_t *known)
-{
-    apr_hash_set(node->targets, known->info.id, APR_HASH_KEY_STRING, NULL);
-    *(known->prev == NULL ? &node->known : &known->prev->next) = known->next;
-    if (known->next != NULL) {
-        known->next->prev = known->prev;
-    }
-    free(known);
-}
-
-void
-node_take_target(node_t *node, const pool_target_info_t *info)
-{
-    dc_pool_t *pool = find_dc(node, info->dc);
-    if (pool == NULL) {
-        log_event("target_skipped", "id=%s reason=\"unknown data centre %s\"",
-                  info->id, info->dc);
-        return;
-    }
-    known_target_t *known =
-        apr_hash_get(node->targets, info->id, APR_HASH_KEY_STRING);
-    if (known == NULL) {
-        known = add_known(node, info, pool);
-        pool->target_count++;
-    }
-    else if (known->info.is_draining != info->is_draining) {
-        log_event("target_state", "id=%s draining=%d", info->id,
-                  info->is_draining);
-    }
-    known->info = *info;
-    known->pool = pool;
-    place_target(node, known, node_now_ns(node));
-    node_kick(node);
-}
-
-void
-node_drop_target(node_t *node, const char *id)
-{
-    known_target_t *known =
-        apr_hash_get(node->targets, id, APR_HASH_KEY_STRING);
-    if (known == NULL) {
-        return;
-    }
-    log_event("target_gone", "id=%s", id);
-    known->pool->target_count--;
-    pool_drop_target(node->pool, id, node_now_ns(node));
-    remove_known(node, known);
-    node_kick(node);
-}
-
-void
-owner_publish(node_t *node)
-{
-    const node_settings_t *settings = node->settings;
-    const char *pools[64];
-    node_record_t record = {.name = settings->name,
-                            .dc = settings->dc,
-                            .address = settings->address,
-                            .port = settings->peer_port,
-                            .nonce = node->control.hello.nonce,
-                            .strength_milli = settings->core_share,
-                            .is_leaving = atomic_load(&node->is_draining),
-                            .pools = pools};
-    for (uint32_t i = 0; i < node->dc_count && i < 64; i++) {
-        if (cells_held(&node->dcs[i].cells) > 0) {
-            pools[record.pools_count++] = node->dcs[i].dc;
-        }
-    }
-    node->self = members_put(&node->members, &record);
-    node->self->is_self = true;
-    if (node->listed_ns != 0) {
-        node->adapter_ops->publish(node->adapter, &record);
-    }
-}
-
 bool
 owner_holds_any(const node_t *node)
 {
@@ -179,7 +38,7 @@
 node_take_joined(node_t *node, const char *dc, const joined_t *joined)
 {
     int64_t now_ns = node_now_ns(node);
-    dc_pool_t *pool = find_dc(node, dc);
+    dc_pool_t *pool = known_find_dc(node, dc);
     if (pool == NULL) {
         return;
     }
@@ -208,9 +67,9 @@
         log_event("cells_changed", "dc=%s generation=%llu held=%u before=%u",
                   dc, (unsigned long long)joined->generation, held,
                   held_before);
-        place_targets(node, pool, now_ns);
+        known_place_all(node, pool, now_ns);
         if ((held == 0) != (held_before == 0)) {
-            owner_publish(node);
+            record_publish(node);
         }
     }
     node_kick(node);
@@ -245,7 +104,7 @@
         }
     }
     free(is_busy);
-    place_targets(node, pool, now_ns);
+    known_place_all(node, pool, now_ns);
     if (cells->leaving_count > 0) {
         return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
     }
@@ -279,7 +138,7 @@
 void
 node_take_probe(node_t *node, const char *dc)
 {
-    dc_pool_t *pool = find_dc(node, dc);
+    dc_pool_t *pool = known_find_dc(node, dc);
     if (pool == NULL) {
         return;
     }
@@ -328,10 +187,10 @@
     pool->is_retiring = false;
     bool had_cells = cells_held(&pool->cells) > 0;
     cells_drop(&pool->cells);
-    place_targets(node, pool, node_now_ns(node));
+    known_place_all(node, pool, node_now_ns(node));
     node->adapter_ops->leave(node->adapter, pool->dc, node->member);
     if (had_cells) {
-        owner_publish(node);
+        record_publish(node);
     }
 }
 
@@ -344,8 +203,8 @@
         log_event("pool_retiring", "dc=%s", pool->dc);
         pool->is_retiring = true;
         cells_take(&pool->cells, pool->cells.newest, NULL, 0);
-        place_targets(node, pool, now_ns);
-        owner_publish(node);
+        known_place_all(node, pool, now_ns);
+        record_publish(node);
     }
     release_cells(node, pool, now_ns);
     if (pool->cells.leaving_count == 0) {
@@ -384,73 +243,10 @@
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
-void
-owner_name_member(char name[kMemberBytes], const char *node, uint64_t nonce)
-{
-    snprintf(name, kMemberBytes, "%s.%016llx", node,
-             (unsigned long long)nonce);
-}
-
-/// Leaves the pools of an earlier process of this node, which is gone: its
-/// cells need not wait for the end of its time to live.
-static void
-leave_for_earlier(node_t *node, const node_record_t *record)
-{
-    char member[kMemberBytes];
-    owner_name_member(member, record->name, record->nonce);
-    for (uint32_t i = 0; i < record->pools_count; i++) {
-        log_event("pool_left", "dc=%s reason=\"earlier process\"",
-                  record->pools[i]);
-        node->adapter_ops->leave(node->adapter, record->pools[i], member);
-    }
-}
-
-void
-node_take_own_record(node_t *node, const node_record_t *record)
-{
-    bool is_right = record != NULL && member_has_record(node->self, record);
-    if (node->listed_ns == 0 && record != NULL &&
-        record->nonce != node->self->record->nonce) {
-        // The records of the others are in the same list.
-        node->is_restarted = true;
-        leave_for_earlier(node, record);
-    }
-    if (is_right) {
-        node->repair_due_ns = 0;
-        node->repair_count = 0;
-    }
-    else if (node->repair_due_ns == 0) {
-        node->repair_due_ns =
-            node_now_ns(node) + (int64_t)kRepairMs * kNsPerMs;
-        node_kick(node);
-    }
-}
-
-/// Publishes the node's record again where the store shows another one.
-///
-/// @return when to call it again
-static int64_t
-repair_record(node_t *node, int64_t now_ns)
-{
-    if (node->repair_due_ns == 0) {
-        return INT64_MAX;
-    }
-    if (node->repair_due_ns <= now_ns) {
-        log_event("record_repaired", "name=%s", node->settings->name);
-        uint32_t doublings = node->repair_count < kRepairDoublings
-                                 ? ++node->repair_count
-                                 : (uint32_t)kRepairDoublings;
-        node->repair_due_ns =
-            now_ns + ((int64_t)kRepairMs << doublings) * kNsPerMs;
-        owner_publish(node);
-    }
-    return node->repair_due_ns;
-}
-
 int64_t
 owner_advance(node_t *node, int64_t now_ns)
 {
-    int64_t due_ns = repair_record(node, now_ns);
+    int64_t due_ns = record_advance(node, now_ns);
     for (uint32_t i = 0; i < node->dc_count; i++) {
         dc_pool_t *pool = &node->dcs[i];
         int64_t decide_ns = decide_membership(node, pool, now_ns);
@@ -521,14 +317,14 @@
 take_fenced(void *owner, const pool_target_info_t *info)
 {
     node_t *node = owner;
-    dc_pool_t *pool = find_dc(node, info->dc);
+    dc_pool_t *pool = known_find_dc(node, info->dc);
     if (pool == NULL) {
         return;
     }
     log_event("target_fenced", "id=%s token=%llu", info->id,
               (unsigned long long)pool_target_token(node->pool, info->id));
     if (cells_raise(&pool->cells, cells_find(&pool->cells, info->id))) {
-        place_targets(node, pool, node_now_ns(node));
+        known_place_all(node, pool, node_now_ns(node));
     }
     pool->join_due_ns = 0;
     node_kick(node);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -9,10 +9,6 @@
 ///         has noticed the silence, or its last lease is over.
 pool_limits_t owner_limits(const node_settings_t *settings);
 
-/// Writes the name that a process of a node has in groups.
-void owner_name_member(char name[kMemberBytes], const char *node,
-                       uint64_t nonce);
-
 /// Creates the pool and the tables of the data centres.
 void owner_init(node_t *node);
 
@@ -24,10 +20,6 @@
 /// @return whether this node owns targets
 bool owner_holds_any(const node_t *node);
 
-/// Publishes the node's record, once the records that were there before are
-/// known: it would hide that of an earlier process of this node.
-void owner_publish(node_t *node);
-
 /// Leaves all pools.
 void owner_leave_all(node_t *node);
 
