--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -20,7 +20,8 @@
     kLeavingLimitMs = 2500, ///< for the runs of leaving cells to end
     kLeavingLookMs = 40,    ///< between two looks at them
     kProbeMs = 500,         ///< between two probes of a data centre
-    kProbeLifeMs = 1000     ///< that an answer to a probe counts for
+    kProbeLifeMs = 1300     ///< that an answer to a probe counts for: one may
+                            ///< be lost
 };
 
 bool
@@ -112,27 +113,47 @@
     return now_ns;
 }
 
-/// Before a node joins the owners elsewhere, a target there must answer:
-/// behind a cut, it could serve none of them.
-static bool
-is_in_reach(node_t *node, dc_pool_t *pool, int64_t now_ns)
+/// @return the next target to probe in a data centre, or NULL
+static const pool_target_info_t *
+next_probed(const node_t *node, dc_pool_t *pool)
 {
-    if (pool->reached_ns != 0 &&
-        now_ns - pool->reached_ns < (int64_t)kProbeLifeMs * kNsPerMs) {
-        return true;
-    }
-    if (pool->probe_due_ns > now_ns) {
-        return false;
-    }
-    pool->probe_due_ns = now_ns + (int64_t)kProbeMs * kNsPerMs;
+    uint32_t skip = pool->probe_count++ % pool->target_count;
+    const pool_target_info_t *found = NULL;
     for (const known_target_t *known = node->known; known != NULL;
          known = known->next) {
         if (known->pool == pool && !known->info.is_draining) {
-            node->adapter_ops->probe(node->adapter, &known->info);
-            return false;
+            found = &known->info;
+            if (skip-- == 0) {
+                break;
+            }
         }
     }
-    return false;
+    return found;
+}
+
+/// Sees whether targets elsewhere that lack an owner are in reach: behind a
+/// cut, this node could serve none of them.
+///
+/// @return when to call it again
+static int64_t
+probe_elsewhere(node_t *node, dc_pool_t *pool, int64_t now_ns)
+{
+    if (pool->probe_due_ns <= now_ns) {
+        const pool_target_info_t *target = next_probed(node, pool);
+        pool->probe_due_ns = now_ns + (int64_t)kProbeMs * kNsPerMs;
+        if (target != NULL) {
+            node->adapter_ops->probe(node->adapter, target);
+        }
+    }
+    return pool->probe_due_ns;
+}
+
+/// @return whether the answer to a probe still counts
+static bool
+is_in_reach(const dc_pool_t *pool, int64_t now_ns)
+{
+    return pool->reached_ns != 0 &&
+           now_ns - pool->reached_ns < (int64_t)kProbeLifeMs * kNsPerMs;
 }
 
 void
@@ -142,7 +163,11 @@
     if (pool == NULL) {
         return;
     }
-    pool->reached_ns = node_now_ns(node);
+    int64_t now_ns = node_now_ns(node);
+    if (!is_in_reach(pool, now_ns)) {
+        pool->reached_since_ns = now_ns;
+    }
+    pool->reached_ns = now_ns;
     node_kick(node);
 }
 
@@ -174,6 +199,8 @@
         pool->short_since_ns =
             pool->short_since_ns == 0 ? now_ns : pool->short_since_ns;
     }
+    candidate.reached_since_ns =
+        is_in_reach(pool, now_ns) ? pool->reached_since_ns : 0;
     candidate.short_since_ns = pool->short_since_ns;
     candidate.settled_since_ns = pool->settled_since_ns;
     return candidate;
@@ -222,9 +249,10 @@
     }
     candidate_t candidate = describe_candidate(node, pool, now_ns);
     int64_t join_ns = candidate_join_ns(&candidate, now_ns);
-    if (join_ns <= now_ns && !candidate.is_own_dc &&
-        !is_in_reach(node, pool, now_ns)) {
-        return pool->probe_due_ns;
+    int64_t probe_ns = INT64_MAX;
+    if (!candidate.is_own_dc && !candidate.is_owner &&
+        candidate.short_since_ns != 0) {
+        probe_ns = probe_elsewhere(node, pool, now_ns);
     }
     if (join_ns <= now_ns) {
         log_event("pool_joined", "dc=%s rank=%u wanted=%u owners=%u", pool->dc,
@@ -240,6 +268,7 @@
         retire(node, pool, now_ns);
         return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
     }
+    join_ns = join_ns < probe_ns ? join_ns : probe_ns;
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -15,7 +15,7 @@
     kConnectMs = 250, ///< to the peer's hello; the first packet of a
                       ///< connection that was lost comes again after a second
     kReconnectMs = 300,
-    kReconnectLimitMs = 3000,
+    kReconnectLimitMs = 1000,
     kDoubtMs = 350,      ///< of silence, after which new jobs go elsewhere
     kNewsLifeMs = 1000,  ///< after which news of a pool says nothing
     kFullPenaltyMs = 40, ///< for a pool without room for the whole job
--- a/src/own/members.c
+++ b/src/own/members.c
@@ -10,6 +10,9 @@
     kNewsMs = 1200, ///< until news of an owner has reached all nodes
     kRankStepMs = 500,
     kForeignMs = 3000, ///< that owners from elsewhere hold back for
+    kReachMs = 2500, ///< that targets elsewhere must have been in reach: when
+                     ///< a cut ends, their own owners take up to 2 s to
+                     ///< come back
     kSettledMs = 5000, ///< before an owner that is not needed leaves
     kGatherMs = 500    ///< that a new node waits for others that start with
                        ///< it; all machines start within 300 ms
@@ -174,7 +177,12 @@
         kNewsMs +
         (int64_t)kRankStepMs *
             (is_first ? 0 : candidate->rank - candidate->wanted_count);
+    if (!candidate->is_own_dc && candidate->reached_since_ns == 0) {
+        return INT64_MAX;
+    }
     if (!candidate->is_own_dc) {
+        int64_t reached_ns = candidate->reached_since_ns + MS_TO_NS(kReachMs);
+        least_ns = reached_ns > least_ns ? reached_ns : least_ns;
         wait_ms += kForeignMs;
     }
     int64_t join_ns = candidate->short_since_ns + MS_TO_NS(wait_ms);
--- a/src/own/members.h
+++ b/src/own/members.h
@@ -58,6 +58,8 @@
     bool is_owner;            ///< this node owns some already
     int64_t new_since_ns;     ///< since when a new node knows the others; 0:
                               ///< it has run before
+    int64_t reached_since_ns; ///< since when targets elsewhere have answered
+                              ///< probes; 0: they do not
     int64_t short_since_ns;   ///< since when owners were too few; 0: they
                               ///< are not
     int64_t settled_since_ns; ///< since when owners were enough; 0: they are
--- a/tests/unit/test_own.c
+++ b/tests/unit/test_own.c
@@ -155,6 +155,21 @@
     CU_ASSERT_EQUAL(candidate_join_ns(&candidate, 200), INT64_MAX);
 }
 
+/// Behind a cut a node could serve nobody; when the cut ends, the owners that
+/// stand there come back first.
+static void
+test_far_owner_waits_for_reach(void)
+{
+    candidate_t far = {.rank = 3, .wanted_count = 1, .short_since_ns = 100};
+    int64_t late_ns = 100 + INT64_C(20000000000);
+    CU_ASSERT_EQUAL(candidate_join_ns(&far, late_ns), INT64_MAX);
+    far.reached_since_ns = late_ns;
+    CU_ASSERT(candidate_join_ns(&far, late_ns) >=
+              late_ns + INT64_C(2000000000));
+    far.reached_since_ns = 100;
+    CU_ASSERT(candidate_join_ns(&far, late_ns) <= late_ns);
+}
+
 /// Nodes that start together must know each other before they choose.
 static void
 test_new_node_gathers_first(void)
@@ -183,6 +198,7 @@
     third.rank = 2;
     far.rank = 3;
     far.is_own_dc = false;
+    far.reached_since_ns = 100;
     CU_ASSERT(candidate_join_ns(&second, 200) > 200);
     CU_ASSERT(candidate_join_ns(&third, 200) >
               candidate_join_ns(&second, 200));
@@ -206,6 +222,7 @@
 main(void)
 {
     const CU_TestInfo tests[] = {
+        {"a far owner waits for reach", test_far_owner_waits_for_reach},
         {"a new node gathers first", test_new_node_gathers_first},
         {"a cell keeps its token", test_cell_keeps_its_token},
         {"a moved cell is let go first", test_moved_cell_is_let_go_first},
