--- /dev/null
+++ b/tests/unit/test_callers.c
@@ -0,0 +1,97 @@
+/// The end of the callers' interface: requests that were sent before it get an
+/// answer.
+#include "platform/callers.h"
+
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "node/node.h"
+#include "support/process.h"
+#include "support/suite.h"
+
+enum { kCallers = 200, kPort = 8161, kAnswerS = 10, kRounds = 10 };
+
+static const char request[] = "GET /jobs/ HTTP/1.1\r\nHost: h\r\n"
+                              "Connection: close\r\n\r\n";
+
+/// Opens the interface of a node that does not run.
+static callers_t *
+open_callers(arena_t *arena, const char *address)
+{
+    error_info_t err = {0};
+    node_settings_t *settings = apr_pcalloc(arena, sizeof *settings);
+    *settings = (node_settings_t){
+        .name = "n",
+        .dc = "d",
+        .address = address,
+        .callers = apr_psprintf(arena, "%s:%d", address, kPort),
+        .ready = apr_psprintf(arena, "%s:%d", address, kPort + 1),
+        .metrics_port = kPort + 2,
+        .http_threads = 1,
+        .hold_limit_ms = 1000,
+        .resubmit_ms = 1300};
+    node_t *node = node_create(settings, arena);
+    atomic_store(&node->is_draining, true);
+    atomic_store(&node->is_closed, true);
+    return callers_open(node, &err);
+}
+
+/// @return a connection with a request under way
+static int
+send_request(const char *address)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(kPort)};
+    struct timeval limit = {.tv_sec = kAnswerS};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, address, &to.sin_addr);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&to, sizeof to), 0);
+    CU_ASSERT_EQUAL(send(fd, request, strlen(request), MSG_NOSIGNAL),
+                    (ssize_t)strlen(request));
+    return fd;
+}
+
+/// All connections are made before the end; most of them have not been taken
+/// over from the kernel then.
+static void
+test_waiting_connections_are_answered(void)
+{
+    for (uint32_t round = 0; round < kRounds; round++) {
+        arena_t *arena = arena_create();
+        int fds[kCallers];
+        uint32_t answered = 0;
+        const char *address = apr_psprintf(arena, "127.%u.1.%u",
+                                           process_reserve_net(), 1 + round);
+        callers_t *callers = open_callers(arena, address);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(callers);
+        for (uint32_t i = 0; i < kCallers; i++) {
+            fds[i] = send_request(address);
+        }
+        callers_close(callers);
+        for (uint32_t i = 0; i < kCallers; i++) {
+            char text[16] = "";
+            answered += recv(fds[i], text, sizeof text - 1, 0) > 0 &&
+                        strncmp(text, "HTTP/1.1 503", 12) == 0;
+            close(fds[i]);
+        }
+        CU_ASSERT_EQUAL(answered, kCallers);
+    }
+}
+
+int
+main(void)
+{
+    const CU_TestInfo tests[] = {
+        {"waiting connections are answered",
+         test_waiting_connections_are_answered},
+        CU_TEST_INFO_NULL,
+    };
+    apr_initialize();
+    return suite_run("callers", tests);
+}
