--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -171,6 +171,18 @@
     node_kick(node);
 }
 
+/// Keeps since when a condition has held; 0 while it does not.
+static void
+note_since(int64_t *since_ns, bool holds, int64_t now_ns)
+{
+    if (!holds) {
+        *since_ns = 0;
+    }
+    else if (*since_ns == 0) {
+        *since_ns = now_ns;
+    }
+}
+
 static candidate_t
 describe_candidate(node_t *node, dc_pool_t *pool, int64_t now_ns)
 {
@@ -187,18 +199,11 @@
         .is_owner = pool->is_member,
         .new_since_ns = node->is_restarted ? 0 : node->listed_ns};
     // From elsewhere, one owner in reach is enough.
-    bool is_enough =
-        candidate.owner_count >= (candidate.is_own_dc ? wanted : 1);
-    if (is_enough) {
-        pool->short_since_ns = 0;
-        pool->settled_since_ns =
-            pool->settled_since_ns == 0 ? now_ns : pool->settled_since_ns;
-    }
-    else {
-        pool->settled_since_ns = 0;
-        pool->short_since_ns =
-            pool->short_since_ns == 0 ? now_ns : pool->short_since_ns;
-    }
+    uint32_t enough = candidate.is_own_dc ? wanted : 1;
+    uint32_t before_count =
+        members_count_owners_before(&node->members, node->self, pool->dc);
+    note_since(&pool->short_since_ns, candidate.owner_count < enough, now_ns);
+    note_since(&pool->settled_since_ns, before_count >= enough, now_ns);
     candidate.reached_since_ns =
         is_in_reach(pool, now_ns) ? pool->reached_since_ns : 0;
     candidate.short_since_ns = pool->short_since_ns;
@@ -247,6 +252,12 @@
         node->listed_ns == 0) {
         return INT64_MAX;
     }
+    if (pool->is_retiring) {
+        // Its cells are let go one by one as their runs end. What the others
+        // do meanwhile changes nothing: it has told them that it owns none.
+        retire(node, pool, now_ns);
+        return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
+    }
     candidate_t candidate = describe_candidate(node, pool, now_ns);
     int64_t join_ns = candidate_join_ns(&candidate, now_ns);
     int64_t probe_ns = INT64_MAX;
@@ -264,7 +275,6 @@
     }
     int64_t leave_ns = candidate_leave_ns(&candidate);
     if (leave_ns <= now_ns) {
-        // Its cells are let go one by one as their runs end.
         retire(node, pool, now_ns);
         return now_ns + (int64_t)kLeavingLookMs * kNsPerMs;
     }
--- a/src/own/members.c
+++ b/src/own/members.c
@@ -129,14 +129,34 @@
     return rank;
 }
 
+/// @return whether another member is reached and owns targets
+static bool
+is_owner_elsewhere(const member_t *member, const char *dc)
+{
+    return !member->is_self && member->is_reached &&
+           !member->record->is_leaving && member_serves(member, dc);
+}
+
 uint32_t
 members_count_owners(const members_t *members, const char *dc)
 {
     uint32_t count = 0;
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
-        count += !member->is_self && member->is_reached &&
-                 !member->record->is_leaving && member_serves(member, dc);
+        count += is_owner_elsewhere(member, dc);
+    }
+    return count;
+}
+
+uint32_t
+members_count_owners_before(const members_t *members, const member_t *self,
+                            const char *dc)
+{
+    uint32_t count = 0;
+    for (const member_t *member = members->first; member != NULL;
+         member = member->next) {
+        count += is_owner_elsewhere(member, dc) &&
+                 goes_before(member->record, self->record, dc);
     }
     return count;
 }
--- a/src/own/members.h
+++ b/src/own/members.h
@@ -46,6 +46,10 @@
 /// @return how many reached members own targets of a data centre
 uint32_t members_count_owners(const members_t *members, const char *dc);
 
+/// @return how many of these go before this node
+uint32_t members_count_owners_before(const members_t *members,
+                                     const member_t *self, const char *dc);
+
 /// @return how many members stand in a data centre and are not leaving
 uint32_t members_count_in(const members_t *members, const char *dc);
 
@@ -62,8 +66,8 @@
                               ///< probes; 0: they do not
     int64_t short_since_ns;   ///< since when owners were too few; 0: they
                               ///< are not
-    int64_t settled_since_ns; ///< since when owners were enough; 0: they are
-                              ///< not
+    int64_t settled_since_ns; ///< since when owners that go before this node
+                              ///< were enough; 0: they are not
 } candidate_t;
 
 /// An owner is never pushed out by a node that goes before it: each hand-over
@@ -72,6 +76,9 @@
 /// @return when this node should join the owners, or INT64_MAX
 int64_t candidate_join_ns(const candidate_t *candidate, int64_t now_ns);
 
+/// Of owners that are too many, the last ones leave: never all of them, and
+/// not for a node that is none.
+///
 /// @return when this node should leave the owners, or INT64_MAX
 int64_t candidate_leave_ns(const candidate_t *candidate);
 
--- a/tests/unit/test_own.c
+++ b/tests/unit/test_own.c
@@ -143,6 +143,33 @@
     drop_all(&members);
 }
 
+/// Found on trouble-2 of Kuiseb, seed 2: two owners where one was wanted, and
+/// a node that goes before both and is none. Both left at the same time.
+static void
+test_not_all_owners_leave(void)
+{
+    members_t members = {0};
+    put_member(&members, "a", "d1", 100, NULL)->is_reached = true;
+    member_t *b = put_member(&members, "b", "d1", 100, "d1");
+    member_t *c = put_member(&members, "c", "d1", 100, "d1");
+    member_t *far = put_member(&members, "d", "d2", 900, "d1");
+    b->is_reached = true;
+    c->is_reached = true;
+    far->is_reached = true;
+    b->is_self = true;
+    CU_ASSERT_EQUAL(members_count_owners_before(&members, b, "d1"), 0);
+    b->is_self = false;
+    c->is_self = true;
+    CU_ASSERT_EQUAL(members_count_owners_before(&members, c, "d1"), 1);
+    b->is_reached = false;
+    CU_ASSERT_EQUAL(members_count_owners_before(&members, c, "d1"), 0);
+    b->is_reached = true;
+    c->is_self = false;
+    far->is_self = true;
+    CU_ASSERT_EQUAL(members_count_owners_before(&members, far, "d1"), 2);
+    drop_all(&members);
+}
+
 static void
 test_first_joins_at_once_when_short(void)
 {
@@ -223,6 +250,7 @@
 {
     const CU_TestInfo tests[] = {
         {"a far owner waits for reach", test_far_owner_waits_for_reach},
+        {"not all owners leave", test_not_all_owners_leave},
         {"a new node gathers first", test_new_node_gathers_first},
         {"a cell keeps its token", test_cell_keeps_its_token},
         {"a moved cell is let go first", test_moved_cell_is_let_go_first},
