--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -13,7 +13,7 @@
     [ -n "${only:-}" ] && [ "$only" != "$1" ] && return
     rm -rf "$work/tree"
     mkdir "$work/tree"
-    (cd "$top" && cp -r CMakeLists.txt src tests bench "$work/tree")
+    (cd "$top" && cp -r CMakeLists.txt src platform tests bench "$work/tree")
     sed -i "$4" "$work/tree/$3"
     if cmp -s "$work/tree/$3" "$top/$3"; then
         echo "$1: the change does not apply"
@@ -74,5 +74,19 @@
     's/place += dispatch->shard_count/place += 1/;s/bool is_done = /bool is_done = true || /'
 mutant empty-list functional_test_platform src/agent/agent.c \
     's/if (!members_has_entry(vms, vm_count)) {/if (false) {/'
+mutant list-is-certain test_pool src/pool/sessions.c \
+    's/run->certain_ns <= target->list_sent_ns/run->started_ns < target->list_sent_ns/'
+mutant starts-repeated test_pool src/pool/runs.c \
+    's/kStartSends = 3,/kStartSends = 1,/'
+mutant far-owner-waits test_own src/own/members.c \
+    's/least_ns = reached_ns > least_ns ? reached_ns : least_ns;/least_ns += reached_ns * 0;/'
+mutant one-leaves test_own src/own/members.c \
+    's/               goes_before(member->record, self->record, dc);/               self != NULL;/'
+mutant waiting-connections test_callers platform/callers.c \
+    's/^        take_waiting(callers, listening);//'
+mutant earlier-process functional_test_node src/node/record.c \
+    's/^        leave_for_earlier(node, record);//'
+mutant record-repair functional_test_node src/node/record.c \
+    's/if (node->repair_due_ns <= now_ns) {/if (false) {/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
