--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -23,6 +23,9 @@
                  uint64_t generation);
     /// Leaves them.
     void (*leave)(adapter_t *adapter, const char *dc, const char *member);
+    /// Follows what targets say of themselves closely, as an owner needs to,
+    /// or less so.
+    void (*watch)(adapter_t *adapter, bool is_close);
     /// Tells the other nodes of this one.
     void (*publish)(adapter_t *adapter, const node_record_t *record);
 } adapter_ops_t;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,6 +67,7 @@
     apr_hash_t *targets;        ///< the same by id
     members_t members;
     int64_t listed_ns; ///< when they were first listed; 0: not yet
+    bool is_watching;  ///< follows targets closely
     bool is_restarted; ///< an earlier process of this node left a record
     member_t *self;
     int64_t repair_due_ns; ///< when to publish again, as the store shows
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -35,6 +35,17 @@
     return false;
 }
 
+uint32_t
+owner_join_pause_ms(uint32_t failures)
+{
+    if (failures == 0) {
+        return kJoinMs;
+    }
+    return failures < kJoinRetryLimitMs / kJoinRetryMs
+               ? (uint32_t)kJoinRetryMs * failures
+               : (uint32_t)kJoinRetryLimitMs;
+}
+
 void
 node_take_joined(node_t *node, const char *dc, const joined_t *joined)
 {
@@ -45,19 +56,17 @@
     }
     pool->is_join_open = false;
     if (!joined->is_answered) {
-        pool->join_failures++;
-        int64_t wait_ms = (int64_t)kJoinRetryMs * pool->join_failures;
         pool->join_due_ns =
             now_ns +
-            (int64_t)kNsPerMs *
-                (wait_ms < kJoinRetryLimitMs ? wait_ms : kJoinRetryLimitMs);
+            (int64_t)owner_join_pause_ms(++pool->join_failures) * kNsPerMs;
         node_kick(node);
         return;
     }
     pool->join_failures = 0;
     bool has_risen = joined->generation > pool->cells.newest;
     pool->join_due_ns =
-        has_risen ? now_ns : now_ns + (int64_t)kJoinMs * kNsPerMs;
+        has_risen ? now_ns
+                  : now_ns + (int64_t)owner_join_pause_ms(0) * kNsPerMs;
     if (!pool->is_member || pool->is_retiring) {
         return;
     }
@@ -282,6 +291,20 @@
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
+/// Has targets followed closely while this node is among the owners of any.
+static void
+update_watch(node_t *node)
+{
+    bool is_member = false;
+    for (uint32_t i = 0; i < node->dc_count; i++) {
+        is_member |= node->dcs[i].is_member;
+    }
+    if (is_member != node->is_watching) {
+        node->is_watching = is_member;
+        node->adapter_ops->watch(node->adapter, is_member);
+    }
+}
+
 int64_t
 owner_advance(node_t *node, int64_t now_ns)
 {
@@ -304,6 +327,7 @@
             due_ns = pool->join_due_ns;
         }
     }
+    update_watch(node);
     return due_ns;
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -12,6 +12,9 @@
 /// Creates the pool and the tables of the data centres.
 void owner_init(node_t *node);
 
+/// @return the pause before the next join of a pool, after failures in a row
+uint32_t owner_join_pause_ms(uint32_t failures);
+
 /// Joins, stays in, or leaves pools as is due.
 ///
 /// @return when to call it again
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -2,9 +2,11 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "node/owner.h"
 #include "node/queues.h"
 #include "platform/feeds.h"
 #include "platform/job_reader.h"
+#include "platform/store_call.h"
 #include "platform/targets.h"
 #include "support/suite.h"
 
@@ -156,6 +158,40 @@
     }
 }
 
+/// An owner that loses two reads in a row learns in time that a target
+/// drains.
+static void
+test_lost_reads_are_repeated_in_time(void)
+{
+    enum { kDrainMs = 2000, kUsualMs = 50 };
+    uint32_t age_ms = feeds_pause_ms(true) + kUsualMs;
+    for (uint32_t lost = 0; lost < 2; lost++) {
+        age_ms += store_limit_ms(lost) + store_pause_ms(lost + 1);
+    }
+    CU_ASSERT(age_ms < kDrainMs);
+}
+
+/// A member that loses one join stays a member.
+static void
+test_lost_join_is_repeated_in_time(void)
+{
+    enum { kLeastTtlMs = 1000, kUsualMs = 50 };
+    CU_ASSERT(owner_join_pause_ms(0) + store_limit_ms(0) +
+                  owner_join_pause_ms(1) + kUsualMs <
+              kLeastTtlMs);
+}
+
+/// Failures in a row neither end the tries nor their growth.
+static void
+test_tries_are_paced(void)
+{
+    for (uint32_t i = 1; i < 100; i++) {
+        CU_ASSERT(store_pause_ms(i + 1) >= store_pause_ms(i));
+        CU_ASSERT(store_limit_ms(i + 1) >= store_limit_ms(i));
+        CU_ASSERT(store_pause_ms(i) + store_limit_ms(i) <= 2000);
+    }
+}
+
 int
 main(void)
 {
@@ -171,6 +207,11 @@
         {"a job is read", test_job_is_read},
         {"parts that are not served are refused",
          test_parts_not_served_are_refused},
+        {"lost reads are repeated in time",
+         test_lost_reads_are_repeated_in_time},
+        {"a lost join is repeated in time",
+         test_lost_join_is_repeated_in_time},
+        {"tries are paced", test_tries_are_paced},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
