--- a/src/codec/json.c
+++ b/src/codec/json.c
@@ -5,63 +5,72 @@
 #include <math.h>
 #include <string.h>
 
-enum { kNestingLimit = 32, kPathBytes = 128 };
+enum { kNestingLimit = 32, kPathBytes = 128, kAllowedBytes = 160 };
 
 /// Largest number up to which a double holds every whole one.
 #define WHOLE_LIMIT 9007199254740992.0
 
+/// Where in a document a value stands: a key, or an item of a list.
+typedef struct place {
+    const struct place *outer; ///< NULL for a value of the document itself
+    const char *key;           ///< NULL for an item
+    uint32_t item;
+} place_t;
+
 /// What a read carries along.
 typedef struct {
     arena_t *arena;
     error_kind_t kind;
     error_info_t *err;
-    char path[kPathBytes]; ///< path of the value being read
+    const place_t *place; ///< of the value being read; NULL for the document
 } reader_t;
 
 static bool read_record(reader_t *reader, json_object *object,
                         const record_desc_t *desc, uint8_t *out);
 
-/// Adds a key to the path.
-///
-/// @return length of the path before, for path_leave
-static size_t
-path_enter_key(reader_t *reader, const char *key)
-{
-    size_t length = strlen(reader->path);
-    apr_snprintf(reader->path + length, sizeof reader->path - length, "%s%s",
-                 length > 0 ? "." : "", key);
-    return length;
-}
-
-/// Adds the place of a list's item to the path.
-///
-/// @return length of the path before, for path_leave
-static size_t
-path_enter_item(reader_t *reader, uint32_t place)
-{
-    size_t length = strlen(reader->path);
-    apr_snprintf(reader->path + length, sizeof reader->path - length, "[%u]",
-                 place);
-    return length;
-}
-
+/// Appends the path of a place to a text that is cut at its limit.
 static void
-path_leave(reader_t *reader, size_t length)
+write_path(const place_t *place, char path[kPathBytes])
 {
-    reader->path[length] = '\0';
+    if (place == NULL) {
+        return;
+    }
+    write_path(place->outer, path);
+    size_t length = strlen(path);
+    if (place->key == NULL) {
+        apr_snprintf(path + length, kPathBytes - length, "[%u]", place->item);
+    }
+    else {
+        apr_snprintf(path + length, kPathBytes - length, "%s%s",
+                     length > 0 ? "." : "", place->key);
+    }
 }
 
 /// Says what was found and what is allowed.
 static bool
 refuse(reader_t *reader, json_object *found, const char *allowed)
 {
+    char path[kPathBytes] = "";
     const char *text =
         found == NULL
             ? "null"
             : json_object_to_json_string_ext(found, JSON_C_TO_STRING_PLAIN);
-    return error_set(
-        reader->err, reader->kind, "%s: found %.40s, allowed is %s",
-        reader->path[0] == '\0' ? "document" : reader->path, text, allowed);
+    write_path(reader->place, path);
+    return error_set(reader->err, reader->kind,
+                     "%s: found %.40s, allowed is %s",
+                     path[0] == '\0' ? "document" : path, text, allowed);
+}
+
+/// Refuses a value that is not within the limits of its field.
+///
+/// @param what  a format of the least and the greatest
+static bool
+refuse_range(reader_t *reader, json_object *found, const field_desc_t *field,
+             const char *what)
+{
+    char allowed[kAllowedBytes];
+    apr_snprintf(allowed, sizeof allowed, what, field->min, field->max);
+    return refuse(reader, found, allowed);
 }
 
 /// Reads a whole number that is not negative; JSON may write it as 5 or 5.0.
@@ -86,15 +95,12 @@
 read_number(reader_t *reader, json_object *object, const field_desc_t *field,
             uint64_t *out)
 {
-    char allowed[80];
-    apr_snprintf(allowed, sizeof allowed,
-                 "a whole number from %" APR_UINT64_T_FMT
-                 " to %" APR_UINT64_T_FMT,
-                 field->min, field->max);
     uint64_t number = 0;
     if (!read_whole(object, &number) || number < field->min ||
         number > field->max) {
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field,
+                            "a whole number from %" APR_UINT64_T_FMT
+                            " to %" APR_UINT64_T_FMT);
     }
     *out = number;
     return true;
@@ -110,12 +116,9 @@
     double milli = is_number ? json_object_get_double(object) * 1000 + 0.5 : 0;
     if (!is_number ||
         !(milli >= (double)field->min && milli <= (double)field->max)) {
-        char allowed[80];
-        apr_snprintf(allowed, sizeof allowed,
-                     "a number from %" APR_UINT64_T_FMT
-                     " to %" APR_UINT64_T_FMT " thousandths",
-                     field->min, field->max);
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field,
+                            "a number from %" APR_UINT64_T_FMT
+                            " to %" APR_UINT64_T_FMT " thousandths");
     }
     *out = (uint32_t)milli;
     return true;
@@ -126,13 +129,15 @@
           uint32_t *out)
 {
     const enum_desc_t *desc = field->enumeration;
-    char allowed[160] = "one of";
-    for (uint32_t i = 0; i < desc->count; i++) {
-        if (json_object_is_type(object, json_type_string) &&
-            strcmp(json_object_get_string(object), desc->values[i]) == 0) {
+    bool is_string = json_object_is_type(object, json_type_string);
+    for (uint32_t i = 0; is_string && i < desc->count; i++) {
+        if (strcmp(json_object_get_string(object), desc->values[i]) == 0) {
             *out = i;
             return true;
         }
+    }
+    char allowed[kAllowedBytes] = "one of";
+    for (uint32_t i = 0; i < desc->count; i++) {
         size_t length = strlen(allowed);
         apr_snprintf(allowed + length, sizeof allowed - length, " %s",
                      desc->values[i]);
@@ -144,13 +149,10 @@
 read_run(reader_t *reader, json_object *object, const field_desc_t *field,
          bytes_t *out)
 {
-    char allowed[80];
-    apr_snprintf(allowed, sizeof allowed,
-                 "a string of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT
-                 " bytes",
-                 field->min, field->max);
+    static const char allowed[] =
+        "a string of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT " bytes";
     if (!json_object_is_type(object, json_type_string)) {
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field, allowed);
     }
     uint32_t size_bytes = (uint32_t)json_object_get_string_len(object);
     const char *data = json_object_get_string(object);
@@ -158,7 +160,7 @@
     if (size_bytes < field->min ||
         (field->max > 0 && size_bytes > field->max) ||
         (has_nul && field->type == kFieldStr)) {
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field, allowed);
     }
     out->data = (const uint8_t *)arena_copy(reader->arena, data, size_bytes);
     out->size_bytes = size_bytes;
@@ -211,31 +213,39 @@
     }
 }
 
+/// Reads an item of an array.
+static bool
+read_item(reader_t *reader, json_object *array, uint32_t item,
+          const field_desc_t *field, uint8_t *at)
+{
+    const place_t place = {.outer = reader->place, .item = item};
+    reader->place = &place;
+    bool is_read =
+        read_value(reader, json_object_array_get_idx(array, item), field, at);
+    reader->place = place.outer;
+    return is_read;
+}
+
 static bool
 read_list(reader_t *reader, json_object *object, const field_desc_t *field,
           uint8_t *record)
 {
-    char allowed[80];
-    apr_snprintf(allowed, sizeof allowed,
-                 "a list of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT
-                 " items",
-                 field->min, field->max);
+    static const char allowed[] =
+        "a list of %" APR_UINT64_T_FMT " to %" APR_UINT64_T_FMT " items";
     if (!json_object_is_type(object, json_type_array)) {
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field, allowed);
     }
     uint32_t count = (uint32_t)json_object_array_length(object);
     if (count < field->min || (field->max > 0 && count > field->max)) {
-        return refuse(reader, object, allowed);
+        return refuse_range(reader, object, field, allowed);
     }
     uint32_t item_bytes = field->item_bytes;
     uint8_t *items = apr_palloc(reader->arena, (size_t)count * item_bytes + 1);
     for (uint32_t i = 0; i < count; i++) {
-        size_t length = path_enter_item(reader, i);
-        if (!read_value(reader, json_object_array_get_idx(object, i), field,
-                        items + (size_t)i * item_bytes)) {
+        if (!read_item(reader, object, i, field,
+                       items + (size_t)i * item_bytes)) {
             return false;
         }
-        path_leave(reader, length);
     }
     *(uint8_t **)(record + field->offset_bytes) = items;
     *(uint32_t *)(record + field->count_offset_bytes) = count;
@@ -261,37 +271,47 @@
     {
         (void)value;
         if (find_field(desc, key) == NULL) {
-            path_enter_key(reader, key);
+            const place_t place = {.outer = reader->place, .key = key};
+            char path[kPathBytes] = "";
+            write_path(&place, path);
             return error_set(reader->err, reader->kind,
                              "%s: unknown key, allowed are the keys of %s",
-                             reader->path, desc->name);
+                             path, desc->name);
         }
     }
     return true;
 }
 
+/// Refuses a record that lacks a value.
+static bool
+refuse_missing(reader_t *reader)
+{
+    char path[kPathBytes] = "";
+    write_path(reader->place, path);
+    return error_set(reader->err, reader->kind,
+                     "%s: found nothing, a value is required", path);
+}
+
 static bool
 read_field(reader_t *reader, json_object *object, const field_desc_t *field,
            bool is_open, uint8_t *out)
 {
     json_object *value = NULL;
-    size_t length = path_enter_key(reader, field->name);
-    bool is_there = json_object_object_get_ex(object, field->name, &value);
-    if (!is_there || (value == NULL && is_open)) {
-        if (field->required) {
-            return error_set(reader->err, reader->kind,
-                             "%s: found nothing, a value is required",
-                             reader->path);
-        }
-        path_leave(reader, length);
-        return true;
+    const place_t place = {.outer = reader->place, .key = field->name};
+    bool is_there = json_object_object_get_ex(object, field->name, &value) &&
+                    (value != NULL || !is_open);
+    bool is_read = true;
+    reader->place = &place;
+    if (!is_there) {
+        is_read = !field->required || refuse_missing(reader);
     }
-    bool is_read = field->is_list ? read_list(reader, value, field, out)
-                                  : read_value(reader, value, field,
-                                               out + field->offset_bytes);
-    if (is_read) {
-        path_leave(reader, length);
+    else if (field->is_list) {
+        is_read = read_list(reader, value, field, out);
+    }
+    else {
+        is_read = read_value(reader, value, field, out + field->offset_bytes);
     }
+    reader->place = place.outer;
     return is_read;
 }
 
@@ -313,12 +333,9 @@
             }
             continue;
         }
-        size_t length = path_enter_item(reader, i);
-        if (!read_value(reader, json_object_array_get_idx(object, i), field,
-                        out + field->offset_bytes)) {
+        if (!read_item(reader, object, i, field, out + field->offset_bytes)) {
             return false;
         }
-        path_leave(reader, length);
     }
     return true;
 }
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "shell/clock.h"
+#include "shell/log.h"
 
 enum {
     kRunnerLimit = 512,
@@ -282,6 +283,18 @@
     return (runner->run_count + 1) * kTaskCores > kCores ? "room" : NULL;
 }
 
+/// Counts a start that comes when its owner must know that the runner drains.
+static void
+note_drained(runner_t *runner, const char *task)
+{
+    int64_t age_ms = (clock_now_ns() - runner->drained_ns) / kNsPerMs;
+    if (is_mode(runner, "draining") && age_ms > kDrainGraceMs) {
+        runner->all->ledger.drained++;
+        log_event("drained_start", "runner=%s task=%s age_ms=%lld", runner->id,
+                  task, (long long)age_ms);
+    }
+}
+
 static void
 serve_start(runner_t *runner, server_conn_t *conn, json_object *body)
 {
@@ -305,9 +318,7 @@
     ledger->starts++;
     find_job(runner->all, task)->starts++;
     ledger->doubles += runs_elsewhere(runner, task);
-    ledger->drained +=
-        is_mode(runner, "draining") && clock_now_ns() - runner->drained_ns >
-                                           kDrainGraceMs * (int64_t)kNsPerMs;
+    note_drained(runner, task);
     uint64_t work_ms = strtoull(read_text(body, "task_spec"), NULL, 10);
     run_t *run = &runner->runs[runner->run_count++];
     snprintf(run->task, sizeof run->task, "%s", task);
--- a/tests/standins/users.c
+++ b/tests/standins/users.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "shell/log.h"
 #include "standins/runners.h"
 
 enum { kTextBytes = 1024, kStorePort = 7301, kRunnerPort = 20000 };
@@ -57,6 +58,7 @@
     fake_store_faults_t *faults = fake_store_faults(users->store);
     faults->is_down = query(path, "down=", faults->is_down) != 0;
     faults->lost_percent = query(path, "lost=", faults->lost_percent);
+    log_event("set", "query=\"%s\"", path);
     if (strstr(path, "compact=1") != NULL) {
         fake_store_compact(users->store);
     }
@@ -160,6 +162,7 @@
     argp_parse(&argp, argc, argv, 0, NULL, &options);
     apr_initialize();
     signal(SIGPIPE, SIG_IGN);
+    log_open("standin-users");
     if (sodium_init() < 0) {
         return 1;
     }
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -4,6 +4,7 @@
 
 #include "node/owner.h"
 #include "node/queues.h"
+#include "platform/entries.h"
 #include "platform/feeds.h"
 #include "platform/job_reader.h"
 #include "platform/store_call.h"
@@ -69,7 +70,7 @@
 {
     pool_target_info_t info;
     error_info_t err = {0};
-    CU_ASSERT_TRUE(feeds_read_target(
+    CU_ASSERT_TRUE(entries_read(
         "i-1",
         text_bytes("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
                    "\"zone\":\"z\",\"state\":\"draining\",\"capacity\":"
@@ -95,7 +96,7 @@
         pool_target_info_t info;
         error_info_t err = {0};
         CU_ASSERT_FALSE(
-            feeds_read_target("i-1", text_bytes(texts[i]), &info, &err));
+            entries_read("i-1", text_bytes(texts[i]), &info, &err));
     }
 }
 
@@ -158,6 +159,26 @@
     }
 }
 
+static void
+test_repeated_entry_has_the_same_digest(void)
+{
+    uint64_t digest = entries_digest(
+        text_bytes("{\"state\":\"ready\",\"clock_ms\":4821,\"seq\":4}"));
+    CU_ASSERT_EQUAL(digest,
+                    entries_digest(text_bytes("{\"state\":\"ready\",\"clock_"
+                                              "ms\":48213,\"seq\":15}")));
+    const char *const others[] = {
+        "{\"state\":\"draining\",\"clock_ms\":4821,\"seq\":4}",
+        "{\"state\":\"ready\",\"clock_ms\":4821,\"seq\":4,\"born\":4}",
+        "{\"state\":\"ready\",\"clock_ms\":4821,\"born\":4}",
+        "{\"state\":\"ready\",\"clock_ms\":4821,\"seq\":4",
+        "{\"state\":\"ready4\",\"clock_ms\":4821,\"seq\":4}",
+        ""};
+    for (uint32_t i = 0; i < sizeof others / sizeof others[0]; i++) {
+        CU_ASSERT_NOT_EQUAL(digest, entries_digest(text_bytes(others[i])));
+    }
+}
+
 /// An owner that loses two reads in a row learns in time that a target
 /// drains.
 static void
@@ -207,6 +228,8 @@
         {"a job is read", test_job_is_read},
         {"parts that are not served are refused",
          test_parts_not_served_are_refused},
+        {"a repeated entry has the same digest",
+         test_repeated_entry_has_the_same_digest},
         {"lost reads are repeated in time",
          test_lost_reads_are_repeated_in_time},
         {"a lost join is repeated in time",
