--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -630,6 +630,13 @@
     }
 }
 
+void
+world_hand_in(world_t *world, uint32_t pool, const order_t *order)
+{
+    pool_take_order(world->pools[pool], order, 1,
+                    strtoull(order->job, NULL, 16), world->now_ns);
+}
+
 void
 world_order(world_t *world, uint32_t pool, const char *job,
             uint32_t task_count, uint32_t estimate_ms, uint32_t priority)
@@ -650,8 +657,7 @@
                      .left_ms = 3000,
                      .steps = &step,
                      .steps_count = 1};
-    pool_take_order(world->pools[pool], &order, 1, strtoull(job, NULL, 16),
-                    world->now_ns);
+    world_hand_in(world, pool, &order);
 }
 
 void
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -93,6 +93,9 @@
 /// Lets time pass.
 void world_run_until(world_t *world, int64_t end_ns);
 
+/// Hands an order in; its number is the job's name, read as hexadecimal.
+void world_hand_in(world_t *world, uint32_t pool, const order_t *order);
+
 /// Hands in an order of equal tasks.
 void world_order(world_t *world, uint32_t pool, const char *job,
                  uint32_t task_count, uint32_t estimate_ms, uint32_t priority);
