perf(pool): run times, targets' speeds and waits are learned; orders that are late give way

Ruled out: room (18% of it stood idle meanwhile), a fixed share of the objective (85% to 55% gain under overload what they lose at 60% load).

Change: forecast.c expects the declared time, the usual one of the queue or a blend, whichever has come closest; slowness is a mean of factors; wait.c learns by priority how far waits exceed the guess; orders that can no longer be in time are placed after the others.

--- a/bench/placement.c
+++ b/bench/placement.c
@@ -18,7 +18,8 @@
     kJobLimit = 20000,
     kStretchPermille = 1600,
     kSloMs = 60,
-    kLateFactor = 3, ///< times the objective, after which an answer is worthless
+    kLateFactor =
+        3, ///< times the objective, after which an answer is worthless
     kDefaultSeeds = 5
 };
 
@@ -42,8 +43,9 @@
     uint32_t declared_spread_milli;
 } mix_t;
 
-static const kind_t shop_kinds[] = {
-    {"check", 8, 60, 26, 0}, {"quote", 4, 900, 35, 2}, {"slot", 2, 200, 39, 1}};
+static const kind_t shop_kinds[] = {{"check", 8, 60, 26, 0},
+                                    {"quote", 4, 900, 35, 2},
+                                    {"slot", 2, 200, 39, 1}};
 static const kind_t wide_kinds[] = {{"wide", 24, 150, 60, 1},
                                     {"single", 1, 100, 40, 0}};
 
@@ -113,7 +115,8 @@
     double total = 0;
     for (uint32_t i = 0; i < run->mix->kind_count; i++) {
         const kind_t *kind = &run->mix->kinds[i];
-        total += (double)kind->share_percent / kind->work_ms / kind->task_count;
+        total +=
+            (double)kind->share_percent / kind->work_ms / kind->task_count;
     }
     double luck = total * rng_below(&run->rng, 1000000) / 1000000.0;
     for (uint32_t i = 0; i + 1 < run->mix->kind_count; i++) {
@@ -140,9 +143,8 @@
         double task_ms =
             work_ms * draw_factor(&run->rng, mix->task_spread_milli);
         job->work_ns[i] = (int64_t)(task_ms * 1e6);
-        job->longest_ns = job->work_ns[i] > job->longest_ns
-                              ? job->work_ns[i]
-                              : job->longest_ns;
+        job->longest_ns = job->work_ns[i] > job->longest_ns ? job->work_ns[i]
+                                                            : job->longest_ns;
     }
     char name[16];
     snprintf(name, sizeof name, "%x", run->count++);
@@ -150,13 +152,14 @@
         .task_count = kind->task_count,
         .cpu_mcores = 14000,
         .memory_mb = 64,
-        .estimate_ms = 1 + (uint32_t)(work_ms * draw_factor(
-                                                    &run->rng,
-                                                    mix->declared_spread_milli)),
+        .estimate_ms =
+            1 + (uint32_t)(work_ms *
+                           draw_factor(&run->rng, mix->declared_spread_milli)),
         .constraint = "",
         .data_rack = ""};
     order_t order = {.job = name,
                      .service = "s",
+                     .queue = kind->queue,
                      .payload = "",
                      .priority = kind->priority,
                      .attempt_limit = 3,
--- a/src/own/cells.c
+++ b/src/own/cells.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
+
 void
 cells_init(cells_t *cells, uint32_t count)
 {
@@ -107,16 +109,7 @@
 uint32_t
 cells_find(const cells_t *cells, const char *target_id)
 {
-    uint64_t hash = UINT64_C(0xcbf29ce484222325); // FNV-1a
-    for (const char *at = target_id; *at != '\0'; at++) {
-        hash = (hash ^ (uint8_t)*at) * UINT64_C(0x100000001b3);
-    }
-    // Names that differ in one character differ in few bits so far; the
-    // finalizer of splitmix64 spreads them.
-    hash = (hash ^ (hash >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
-    hash = (hash ^ (hash >> 27)) * UINT64_C(0x94d049bb133111eb);
-    hash ^= hash >> 31;
-    return (uint32_t)(hash % cells->count);
+    return (uint32_t)(hash_text(target_id) % cells->count);
 }
 
 uint32_t
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -6,8 +6,8 @@
 #include "pool/state.h"
 
 enum {
-    kLateFactor = 3,     ///< times the objective after which it is worthless
-    kAdmitPercent = 100, ///< of the objective that a new order may take
+    kLateFactor = 3,    ///< times the objective after which it is worthless
+    kAdmitPercent = 85, ///< of the objective that a new order may take
     kRetryAfterLeastMs = 500 ///< told to callers that are refused
 };
 
@@ -49,6 +49,7 @@
     order_t *copy = apr_pmemdup(arena, order, sizeof *order);
     copy->job = arena_copy(arena, order->job, strlen(order->job));
     copy->service = arena_copy(arena, order->service, strlen(order->service));
+    copy->queue = arena_copy(arena, order->queue, strlen(order->queue));
     copy->payload = arena_copy(arena, order->payload, strlen(order->payload));
     copy->steps = apr_pmemdup(arena, order->steps,
                               order->steps_count * sizeof *order->steps);
@@ -189,12 +190,12 @@
 
 /// Refuses an order that was never linked.
 static void
-refuse_new(pool_t *pool, const order_t *order, uint64_t client,
-           uint64_t request, error_kind_t kind, uint32_t after_ms)
+refuse_new(pool_t *pool, const pool_order_t *order, error_kind_t kind,
+           uint32_t after_ms)
 {
-    pool_settled_t settled = {.client = client,
-                              .request = request,
-                              .job = order->job,
+    pool_settled_t settled = {.client = order->client,
+                              .request = order->request,
+                              .job = order->order->job,
                               .outcome = kOrderOutcomeRefused,
                               .kind = kind,
                               .retry_after_ms = after_ms};
@@ -212,12 +213,38 @@
     return order;
 }
 
+/// Copies an order, with the run times that are expected of its steps.
+static pool_order_t *
+create_order(const pool_t *pool, const order_t *order, int64_t now_ns)
+{
+    arena_t *arena = arena_create();
+    order_t *copy = copy_order(order, arena);
+    pool_order_t *added = apr_pcalloc(arena, sizeof *added);
+    *added = (pool_order_t){
+        .arena = arena,
+        .order = copy,
+        .declared_ms =
+            apr_palloc(arena, copy->steps_count * sizeof *added->declared_ms),
+        .received_ns = now_ns - MS_TO_NS(order->waited_ms),
+        .deadline_ns = now_ns + MS_TO_NS(order->left_ms)};
+    for (uint32_t i = 0; i < copy->steps_count; i++) {
+        order_step_t *step = &copy->steps[i];
+        added->declared_ms[i] = step->estimate_ms;
+        step->estimate_ms = forecast_expect_ms(&pool->forecast, copy->queue,
+                                               step->estimate_ms);
+    }
+    added->objective_ns = MS_TO_NS(
+        chain_ms(copy) * copy->stretch_permille / 1000 + copy->slo_ms);
+    return added;
+}
+
 /// Decides whether a new order can still be answered in time.
 static error_kind_t
-judge_admission(const pool_t *pool, const order_t *order, int64_t objective_ns,
-                uint32_t *wait_ms, int64_t now_ns)
+judge_admission(pool_t *pool, pool_order_t *added, uint32_t *wait_ms,
+                int64_t now_ns)
 {
-    int64_t wait_ns = place_wait_ns(pool, order, now_ns);
+    const order_t *order = added->order;
+    int64_t wait_ns = wait_expect_ns(pool, added, now_ns);
     *wait_ms = (uint32_t)(wait_ns / MS_TO_NS(1) % UINT32_MAX);
     if (pool->is_closed) {
         return kErrorKindDraining;
@@ -226,9 +253,10 @@
         return place_has_ready(pool) ? kErrorKindNoFit
                                      : kErrorKindNoDispatcher;
     }
-    int64_t work_ns = MS_TO_NS(chain_ms(order)) / 1000 * pool->bias_permille;
+    int64_t work_ns = MS_TO_NS(chain_ms(order));
     int64_t finish_ns = MS_TO_NS(order->waited_ms) + wait_ns + work_ns;
-    return wait_ns == 0 || finish_ns <= objective_ns * kAdmitPercent / 100
+    return wait_ns == 0 ||
+                   finish_ns <= added->objective_ns * kAdmitPercent / 100
                ? kErrorKindOk
                : kErrorKindOverload;
 }
@@ -246,25 +274,16 @@
         same->deadline_ns = now_ns + MS_TO_NS(order->left_ms);
         return;
     }
-    int64_t objective_ns = MS_TO_NS(
-        chain_ms(order) * order->stretch_permille / 1000 + order->slo_ms);
+    pool_order_t *added = create_order(pool, order, now_ns);
+    added->client = client;
+    added->request = request;
     uint32_t wait_ms = 0;
-    error_kind_t kind =
-        judge_admission(pool, order, objective_ns, &wait_ms, now_ns);
+    error_kind_t kind = judge_admission(pool, added, &wait_ms, now_ns);
     if (kind != kErrorKindOk) {
-        refuse_new(pool, order, client, request, kind,
-                   retry_after_ms(wait_ms));
+        refuse_new(pool, added, kind, retry_after_ms(wait_ms));
+        arena_destroy(added->arena);
         return;
     }
-    arena_t *arena = arena_create();
-    pool_order_t *added = apr_pcalloc(arena, sizeof *added);
-    *added = (pool_order_t){.arena = arena,
-                            .order = copy_order(order, arena),
-                            .client = client,
-                            .request = request,
-                            .received_ns = now_ns - MS_TO_NS(order->waited_ms),
-                            .deadline_ns = now_ns + MS_TO_NS(order->left_ms),
-                            .objective_ns = objective_ns};
     set_tasks(added);
     link_order(pool, added);
 }
@@ -322,7 +341,7 @@
     if (hopeless_ns <= now_ns) {
         order_settle(
             pool, order, kOrderOutcomeRefused, kErrorKindOverload,
-            retry_after_ms(place_backlog_ms(pool, order->order->priority)),
+            retry_after_ms(wait_backlog_ms(pool, order->order->priority)),
             now_ns);
         return INT64_MAX;
     }
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -9,19 +9,11 @@
         95, ///< of the objective that a run may be expected to take
     kAvoidPenaltyPermille = 3000, ///< for the target of the last bad run
     kDoubtPenaltyPermille = 1300, ///< after a failure that may be the order's
-    kLeastLeftMs = 10,            ///< of a run that is over its expected time
     kFitWeightPermille = 50       ///< of room left over, against the run time
 };
 
-/// Room of a target that no run occupies.
-typedef struct {
-    int64_t cpu_mcores;
-    int64_t memory_mb;
-    int64_t accelerators;
-} room_t;
-
-static room_t
-read_room(const pool_target_t *target)
+room_t
+place_read_room(const pool_target_t *target)
 {
     room_t room = {.cpu_mcores = target->info.cpu_mcores,
                    .memory_mb = target->info.memory_mb,
@@ -79,11 +71,9 @@
 }
 
 int64_t
-place_expected_ns(const pool_t *pool, uint32_t estimate_ms,
-                  const pool_target_t *target)
+place_expected_ns(uint32_t estimate_ms, const pool_target_t *target)
 {
-    return MS_TO_NS(estimate_ms) / 1000 * pool->bias_permille / 1000 *
-           target->slowness_permille;
+    return MS_TO_NS(estimate_ms) / 1000 * target->slowness_permille;
 }
 
 /// What a placement of a task is expected to take, with penalties that only
@@ -92,7 +82,7 @@
 score_ns(const pool_t *pool, const pool_task_t *task, const order_step_t *step,
          const pool_target_t *target, const room_t *room, int64_t *expected_ns)
 {
-    int64_t time_ns = place_expected_ns(pool, step->estimate_ms, target);
+    int64_t time_ns = place_expected_ns(step->estimate_ms, target);
     if (step->data_rack[0] != '\0' &&
         !has_label(&target->info, step->data_rack)) {
         time_ns = time_ns / 1000 * pool->limits.remote_permille;
@@ -130,7 +120,7 @@
             !is_allowed(target, order, step)) {
             continue;
         }
-        room_t room = read_room(target);
+        room_t room = place_read_room(target);
         int64_t expected_ns = 0;
         int64_t score =
             score_ns(pool, task, step, target, &room, &expected_ns);
@@ -198,17 +188,40 @@
     }
 }
 
+/// @return whether an order can no longer be answered within its objective
+static bool
+is_behind(const pool_order_t *order, int64_t now_ns)
+{
+    int64_t work_ns = 0;
+    for (uint32_t i = 0; i < order->order->steps_count; i++) {
+        int64_t step_ns = MS_TO_NS(order->order->steps[i].estimate_ms);
+        work_ns =
+            order->step_left[i] > 0 && step_ns > work_ns ? step_ns : work_ns;
+    }
+    return now_ns + work_ns > order->received_ns + order->objective_ns;
+}
+
+/// Starts what can be started of the orders that may still be answered within
+/// their objective, or of the others.
+static void
+place_orders(pool_t *pool, bool is_for_behind, uint32_t *full_mcores,
+             int64_t now_ns)
+{
+    for (pool_order_t *order = pool->first; order != NULL;
+         order = order->next) {
+        if (order->waiting_count > 0 &&
+            is_behind(order, now_ns) == is_for_behind) {
+            place_order(pool, order, full_mcores, now_ns);
+        }
+    }
+}
+
 void
 place_all(pool_t *pool, int64_t now_ns)
 {
     uint32_t full_mcores = UINT32_MAX;
-    pool_order_t *next;
-    for (pool_order_t *order = pool->first; order != NULL; order = next) {
-        next = order->next;
-        if (order->waiting_count > 0) {
-            place_order(pool, order, &full_mcores, now_ns);
-        }
-    }
+    place_orders(pool, false, &full_mcores, now_ns);
+    place_orders(pool, true, &full_mcores, now_ns);
 }
 
 bool
@@ -244,120 +257,3 @@
     }
     return true;
 }
-
-/// What stands before a new order, for the guess of its wait.
-typedef struct {
-    uint64_t free_count;  ///< tasks of its size that fit now
-    uint64_t ahead_count; ///< waiting tasks that go first
-    int64_t *ends_ns;     ///< when runs are expected to end, from now on
-    uint32_t end_count;
-} line_t;
-
-static int
-compare_ns(const void *left, const void *right)
-{
-    int64_t a = *(const int64_t *)left;
-    int64_t b = *(const int64_t *)right;
-    return (a > b) - (a < b);
-}
-
-/// Notes when the runs of a target are expected to end.
-static void
-read_ends(const pool_t *pool, const pool_target_t *target, line_t *line,
-          int64_t now_ns)
-{
-    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
-        if (run->is_over) {
-            continue;
-        }
-        int64_t left_ns = run->started_ns +
-                          place_expected_ns(pool, run->estimate_ms, target) -
-                          now_ns;
-        line->ends_ns[line->end_count++] = left_ns > MS_TO_NS(kLeastLeftMs)
-                                               ? left_ns
-                                               : MS_TO_NS(kLeastLeftMs);
-    }
-}
-
-static void
-read_line(const pool_t *pool, const order_t *order, const order_step_t *step,
-          line_t *line, int64_t now_ns)
-{
-    for (const pool_target_t *target = pool->first_target; target != NULL;
-         target = target->next) {
-        if (!session_is_open(target, now_ns)) {
-            continue;
-        }
-        room_t room = read_room(target);
-        if (room.cpu_mcores > 0 && step->cpu_mcores > 0) {
-            line->free_count += (uint64_t)room.cpu_mcores / step->cpu_mcores;
-        }
-        read_ends(pool, target, line, now_ns);
-    }
-    for (const pool_order_t *other = pool->first; other != NULL;
-         other = other->next) {
-        if (other->order->priority > order->priority) {
-            break;
-        }
-        line->ahead_count += other->waiting_count;
-    }
-}
-
-/// @return the expected wait until the last of `count` tasks starts
-static int64_t
-guess_wait_ns(const line_t *line, uint64_t count)
-{
-    uint64_t needed = line->ahead_count + count;
-    if (needed <= line->free_count) {
-        return 0;
-    }
-    needed -= line->free_count;
-    if (line->end_count == 0) {
-        return INT64_MAX / 4;
-    }
-    // Beyond the runs at work now, the same again in their longest time.
-    int64_t rounds = (int64_t)((needed - 1) / line->end_count);
-    return line->ends_ns[(needed - 1) % line->end_count] +
-           rounds * line->ends_ns[line->end_count - 1];
-}
-
-int64_t
-place_wait_ns(const pool_t *pool, const order_t *order, int64_t now_ns)
-{
-    const order_step_t *step = &order->steps[0];
-    line_t line = {0};
-    line.ends_ns = malloc((pool->run_count + 1) * sizeof *line.ends_ns);
-    read_line(pool, order, step, &line, now_ns);
-    qsort(line.ends_ns, line.end_count, sizeof *line.ends_ns, compare_ns);
-    bool can_begin = line.ahead_count < line.free_count;
-    int64_t wait_ns = can_begin ? 0 : guess_wait_ns(&line, step->task_count);
-    free(line.ends_ns);
-    return wait_ns;
-}
-
-uint32_t
-place_backlog_ms(const pool_t *pool, uint32_t priority)
-{
-    uint64_t work = 0; // in 1/1000 of a core times milliseconds
-    for (const pool_order_t *order = pool->first; order != NULL;
-         order = order->next) {
-        if (order->order->priority > priority) {
-            break;
-        }
-        for (uint32_t i = 0; i < order->task_count; i++) {
-            const order_step_t *step =
-                &order->order->steps[order->tasks[i].step];
-            if (order->tasks[i].state == kTaskWaiting) {
-                work += (uint64_t)step->cpu_mcores * step->estimate_ms;
-            }
-        }
-    }
-    uint64_t room_mcores = 0;
-    for (const pool_target_t *target = pool->first_target; target != NULL;
-         target = target->next) {
-        if (target->session == kSessionReady && !target->is_dropped) {
-            room_mcores += target->info.cpu_mcores;
-        }
-    }
-    return room_mcores == 0 ? 0 : (uint32_t)(work / room_mcores);
-}
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -34,8 +34,8 @@
                      .ops = ops,
                      .owner = owner,
                      .arena = arena,
-                     .targets = apr_hash_make(arena),
-                     .bias_permille = kUsualPermille};
+                     .targets = apr_hash_make(arena)};
+    wait_init(pool);
     return pool;
 }
 
@@ -249,7 +249,7 @@
 {
     pool_news_t news = {.order_count = pool->order_count,
                         .run_count = pool->run_count,
-                        .backlog_ms = place_backlog_ms(pool, UINT32_MAX)};
+                        .backlog_ms = wait_backlog_ms(pool, UINT32_MAX)};
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
         if (!session_is_open(target, now_ns)) {
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -103,6 +103,9 @@
     task->state = kTaskPlaced;
     task->order->waiting_count--;
     task->order->is_started = true;
+    if (task->order->waiting_count == 0) {
+        wait_learn(pool, task->order, now_ns);
+    }
     link_run(pool, run);
     session_note_lease(target, &pool->limits, now_ns);
     send_start(pool, run, now_ns);
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -1,5 +1,6 @@
 /// The session with one target: its clock, its lease, the lists of its runs,
 /// and how far it is trusted.
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,11 +21,10 @@
     kLastAckMs = 60,      ///< from the last end to the list that notes it
     kMuteRepeatMs = 300,  ///< between two looks at a mute target
     kMuteRepeatLimitMs = 2000,
-    kClockDriftPercent = 3,   ///< clocks of targets may be 2% off
-    kLapseSlackMs = 20,       ///< for the start of what came just in time
-    kLearnWeightPercent = 25, ///< of a new sample
-    kLearnFirstSamples = 4,   ///< that weigh more
-    kSlownessLimitPermille = 20000,
+    kClockDriftPercent = 3, ///< clocks of targets may be 2% off
+    kLapseSlackMs = 20,     ///< for the start of what came just in time
+    kLearnWeight = 8,       ///< one part in so many of a new slowness counts
+    kLeastSlownessPermille = 50,
     kStallFactor = 3, ///< times the expected run time that a run may take
     kStallSlackMs = 150,
     kMoveLimit = 4,     ///< moves of one task
@@ -114,6 +114,35 @@
     }
 }
 
+/// Learns how long tasks of a queue take.
+static void
+learn_time(pool_t *pool, const pool_target_t *target, const pool_run_t *run,
+           int64_t took_us)
+{
+    if (run->task == NULL) {
+        return;
+    }
+    const pool_order_t *order = run->task->order;
+    int64_t usual_ms = took_us / target->slowness_permille;
+    forecast_learn(&pool->forecast, order->order->queue,
+                   order->declared_ms[run->task->step],
+                   usual_ms > 0 ? (uint32_t)usual_ms : 1);
+}
+
+/// Moves the slowness of a target by a part of the factor between it and a new
+/// value: times are spread by factors. The first values count more.
+static void
+note_slowness(pool_target_t *target, uint32_t slowness_permille)
+{
+    uint32_t parts = ++target->sample_count + 1;
+    parts = parts < kLearnWeight ? parts : kLearnWeight;
+    double value = slowness_permille > kLeastSlownessPermille
+                       ? slowness_permille
+                       : kLeastSlownessPermille;
+    double factor = pow(value / target->slowness_permille, 1.0 / parts);
+    target->slowness_permille = (uint32_t)(target->slowness_permille * factor);
+}
+
 void
 session_learn(pool_t *pool, pool_target_t *target, const pool_run_t *run,
               int64_t now_ns)
@@ -124,22 +153,8 @@
         return;
     }
     int64_t took_us = (now_ns - run->started_ns) / 1000;
-    int64_t ratio = took_us / run->estimate_ms;
-    if (ratio > kSlownessLimitPermille) {
-        ratio = kSlownessLimitPermille;
-    }
-    int64_t bias = pool->bias_permille;
-    int64_t slowness = ratio * 1000 / (bias > 0 ? bias : 1000);
-    target->sample_count++;
-    int64_t weight = target->sample_count < kLearnFirstSamples
-                         ? 100 / (target->sample_count + 1)
-                         : kLearnWeightPercent;
-    int64_t old = target->slowness_permille;
-    target->slowness_permille =
-        (uint32_t)(old + (slowness - old) * weight / 100);
-    int64_t expected = old > 0 ? ratio * 1000 / old : ratio;
-    pool->bias_permille =
-        (uint32_t)(bias + (expected - bias) * 2 / 100); // a slow mean
+    learn_time(pool, target, run, took_us);
+    note_slowness(target, (uint32_t)(took_us / run->estimate_ms));
 }
 
 void
@@ -422,7 +437,7 @@
         run->task->move_count >= kMoveLimit || run->stop_due_ns != 0) {
         return INT64_MAX;
     }
-    int64_t expected_ns = place_expected_ns(pool, run->estimate_ms, target);
+    int64_t expected_ns = place_expected_ns(run->estimate_ms, target);
     int64_t due_ns = run->started_ns +
                      (expected_ns * kStallFactor + MS_TO_NS(kStallSlackMs)) *
                          (1 << run->task->move_count);
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -7,8 +7,11 @@
 
 #include "base/arena.h"
 #include "base/units.h"
+#include "pool/forecast.h"
 #include "pool/pool.h"
 
+enum { kWaitPriorities = 8 }; ///< of which waits are known apart
+
 typedef struct pool_order pool_order_t;
 
 typedef enum { kTaskWaiting, kTaskPlaced, kTaskDone } pool_task_state_t;
@@ -33,7 +36,8 @@
     pool_order_t *next;
     pool_order_t *prev;
     arena_t *arena;
-    const order_t *order; ///< a copy
+    const order_t *order;  ///< a copy, with the run times that are expected
+    uint32_t *declared_ms; ///< run time that the caller gave each step
     uint64_t client;
     uint64_t request;
     int64_t received_ns; ///< when the home received the job
@@ -44,6 +48,8 @@
     uint32_t waiting_count;
     uint32_t *step_left; ///< tasks of each step that are not done
     bool is_started;
+    int64_t admitted_ns;
+    int64_t guess_ns; ///< wait that was guessed then; 0 where there was none
 };
 
 typedef enum {
@@ -115,6 +121,13 @@
     uint32_t eject_count;
 };
 
+/// Room of a target that no run occupies.
+typedef struct {
+    int64_t cpu_mcores;
+    int64_t memory_mb;
+    int64_t accelerators;
+} room_t;
+
 struct pool {
     pool_limits_t limits;
     const pool_ops_t *ops;
@@ -127,7 +140,9 @@
     pool_order_t *last;
     uint32_t order_count;
     uint32_t run_count;
-    uint32_t bias_permille; ///< mean of run time against the estimate
+    forecast_t forecast;
+    uint32_t wait_excess_permille[kWaitPriorities]; ///< mean of waits over
+                                                    ///< guessed ones
     int64_t trip_ns;        ///< smoothed time from a start to its answer
     int64_t doubt_until_ns; ///< calls go without answers until then
     bool is_closed;
@@ -172,12 +187,18 @@
 
 /// place.c
 void place_all(pool_t *pool, int64_t now_ns);
-int64_t place_wait_ns(const pool_t *pool, const order_t *order,
-                      int64_t now_ns);
-uint32_t place_backlog_ms(const pool_t *pool, uint32_t priority);
+room_t place_read_room(const pool_target_t *target);
 bool place_has_ready(const pool_t *pool);
 bool place_could_ever(const pool_t *pool, const order_t *order);
-int64_t place_expected_ns(const pool_t *pool, uint32_t estimate_ms,
-                          const pool_target_t *target);
+int64_t place_expected_ns(uint32_t estimate_ms, const pool_target_t *target);
+
+/// wait.c
+void wait_init(pool_t *pool);
+/// @return how long a new order is expected to wait until its last task starts
+int64_t wait_expect_ns(pool_t *pool, pool_order_t *order, int64_t now_ns);
+/// Learns from an order whose last task starts.
+void wait_learn(pool_t *pool, pool_order_t *order, int64_t now_ns);
+/// @return the time that all room needs for what waits up to a priority
+uint32_t wait_backlog_ms(const pool_t *pool, uint32_t priority);
 
 #endif
--- /dev/null
+++ b/src/pool/wait.c
@@ -0,0 +1,168 @@
+/// Waits: how long a new order is expected to wait for room, and how far such
+/// guesses are off.
+#include <stdlib.h>
+
+#include "pool/state.h"
+
+enum {
+    kLeastLeftMs = 10, ///< of a run that is over its expected time
+    kLongestMs = 3600000, ///< where nothing says when room will be there
+    kLearnWeight = 16, ///< one part in so many of a new wait counts
+    kExcessLimitPermille = 20000,
+    kUsualPermille = 1000
+};
+
+/// What stands before a new order, for the guess of its wait.
+typedef struct {
+    uint64_t free_count;  ///< tasks of its size that fit now
+    uint64_t ahead_count; ///< waiting tasks that go first
+    int64_t *ends_ns;     ///< when runs are expected to end, from now on
+    uint32_t end_count;
+} line_t;
+
+static int
+compare_ns(const void *left, const void *right)
+{
+    int64_t a = *(const int64_t *)left;
+    int64_t b = *(const int64_t *)right;
+    return (a > b) - (a < b);
+}
+
+/// Notes when the runs of a target are expected to end.
+static void
+read_ends(const pool_target_t *target, line_t *line, int64_t now_ns)
+{
+    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        if (run->is_over) {
+            continue;
+        }
+        int64_t left_ns = run->started_ns +
+                          place_expected_ns(run->estimate_ms, target) - now_ns;
+        line->ends_ns[line->end_count++] = left_ns > MS_TO_NS(kLeastLeftMs)
+                                               ? left_ns
+                                               : MS_TO_NS(kLeastLeftMs);
+    }
+}
+
+static void
+read_line(const pool_t *pool, const order_t *order, const order_step_t *step,
+          line_t *line, int64_t now_ns)
+{
+    for (const pool_target_t *target = pool->first_target; target != NULL;
+         target = target->next) {
+        if (!session_is_open(target, now_ns)) {
+            continue;
+        }
+        room_t room = place_read_room(target);
+        if (room.cpu_mcores > 0 && step->cpu_mcores > 0) {
+            line->free_count += (uint64_t)room.cpu_mcores / step->cpu_mcores;
+        }
+        read_ends(target, line, now_ns);
+    }
+    for (const pool_order_t *other = pool->first; other != NULL;
+         other = other->next) {
+        if (other->order->priority > order->priority) {
+            break;
+        }
+        line->ahead_count += other->waiting_count;
+    }
+}
+
+/// @return the expected wait until the last of `count` tasks starts
+static int64_t
+guess_start_ns(const line_t *line, uint64_t count)
+{
+    uint64_t needed = line->ahead_count + count;
+    if (needed <= line->free_count) {
+        return 0;
+    }
+    needed -= line->free_count;
+    if (line->end_count == 0) {
+        return MS_TO_NS(kLongestMs);
+    }
+    // Beyond the runs at work now, the same again in their longest time.
+    int64_t rounds = (int64_t)((needed - 1) / line->end_count);
+    return line->ends_ns[(needed - 1) % line->end_count] +
+           rounds * line->ends_ns[line->end_count - 1];
+}
+
+static int64_t
+guess_ns(const pool_t *pool, const order_t *order, int64_t now_ns)
+{
+    const order_step_t *step = &order->steps[0];
+    line_t line = {0};
+    line.ends_ns = malloc((pool->run_count + 1) * sizeof *line.ends_ns);
+    read_line(pool, order, step, &line, now_ns);
+    qsort(line.ends_ns, line.end_count, sizeof *line.ends_ns, compare_ns);
+    bool can_begin = line.ahead_count < line.free_count;
+    int64_t wait_ns = can_begin ? 0 : guess_start_ns(&line, step->task_count);
+    free(line.ends_ns);
+    return wait_ns;
+}
+
+/// @return how far waits of a priority exceed what was guessed
+static uint32_t *
+find_excess(pool_t *pool, uint32_t priority)
+{
+    return &pool->wait_excess_permille[priority < kWaitPriorities
+                                           ? priority
+                                           : kWaitPriorities - 1];
+}
+
+void
+wait_init(pool_t *pool)
+{
+    for (uint32_t i = 0; i < kWaitPriorities; i++) {
+        pool->wait_excess_permille[i] = kUsualPermille;
+    }
+}
+
+int64_t
+wait_expect_ns(pool_t *pool, pool_order_t *order, int64_t now_ns)
+{
+    order->admitted_ns = now_ns;
+    order->guess_ns = guess_ns(pool, order->order, now_ns);
+    return order->guess_ns / kUsualPermille *
+           *find_excess(pool, order->order->priority);
+}
+
+void
+wait_learn(pool_t *pool, pool_order_t *order, int64_t now_ns)
+{
+    if (order->guess_ns < kUsualPermille) {
+        return;
+    }
+    int64_t excess = (now_ns - order->admitted_ns) /
+                     (order->guess_ns / kUsualPermille);
+    excess = excess < kExcessLimitPermille ? excess : kExcessLimitPermille;
+    uint32_t *mean = find_excess(pool, order->order->priority);
+    *mean = (uint32_t)(*mean + (excess - (int64_t)*mean) / kLearnWeight);
+    order->guess_ns = 0;
+}
+
+uint32_t
+wait_backlog_ms(const pool_t *pool, uint32_t priority)
+{
+    uint64_t work = 0; // in 1/1000 of a core times milliseconds
+    for (const pool_order_t *order = pool->first; order != NULL;
+         order = order->next) {
+        if (order->order->priority > priority) {
+            break;
+        }
+        for (uint32_t i = 0; i < order->task_count; i++) {
+            const order_step_t *step =
+                &order->order->steps[order->tasks[i].step];
+            if (order->tasks[i].state == kTaskWaiting) {
+                work += (uint64_t)step->cpu_mcores * step->estimate_ms;
+            }
+        }
+    }
+    uint64_t room_mcores = 0;
+    for (const pool_target_t *target = pool->first_target; target != NULL;
+         target = target->next) {
+        if (target->session == kSessionReady && !target->is_dropped) {
+            room_mcores += target->info.cpu_mcores;
+        }
+    }
+    return room_mcores == 0 ? 0 : (uint32_t)(work / room_mcores);
+}
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -649,6 +649,7 @@
                          .data_rack = ""};
     order_t order = {.job = job,
                      .service = "s",
+                     .queue = "q",
                      .payload = "p",
                      .priority = priority,
                      .attempt_limit = 3,
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -23,6 +23,14 @@
     return MS(100);
 }
 
+static int64_t
+work_200ms(world_t *of, const run_name_t *name)
+{
+    (void)of;
+    (void)name;
+    return MS(200);
+}
+
 static void
 open_world(uint32_t targets, uint64_t seed)
 {
@@ -287,6 +295,27 @@
     world_clear(&world);
 }
 
+/// An order that can no longer be answered in time leaves the room to one that
+/// still can.
+static void
+test_order_that_is_behind_goes_last(void)
+{
+    open_world(1, 1);
+    world.work_ns = work_200ms;
+    // Declared 10 ms, so that the next one expects room soon.
+    world_order(&world, 0, "a1", 2, 10, 0);
+    pass_ms(5);
+    world_order(&world, 0, "b1", 2, 100, 0);
+    pass_ms(140);
+    world_order(&world, 0, "c1", 2, 100, 0);
+    pass_ms(75);
+    CU_ASSERT_EQUAL(world.targets[0].run_count, 2);
+    CU_ASSERT_STRING_EQUAL(world.targets[0].runs[0].name.job, "c1");
+    pass_ms(500);
+    CU_ASSERT_EQUAL(world.tally.counts[kOrderOutcomeComplete], 3);
+    world_clear(&world);
+}
+
 /// Jobs that are lost are handed in again to the other owner, after the time
 /// that callers wait.
 static char resubmit_jobs[1024][16];
@@ -485,6 +514,8 @@
          test_rejection_of_old_token_is_ignored},
         {"rejections are paced", test_rejections_are_paced},
         {"overload is refused at once", test_overload_is_refused_at_once},
+        {"an order that is behind goes last",
+         test_order_that_is_behind_goes_last},
         {"urgent orders go first", test_urgent_goes_first},
         {"a late list ends no repeated run",
          test_late_list_ends_no_repeated_run},
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -88,5 +88,15 @@
     's/^        leave_for_earlier(node, record);//'
 mutant record-repair functional_test_node src/node/record.c \
     's/if (node->repair_due_ns <= now_ns) {/if (false) {/'
+mutant behind-goes-last test_pool src/pool/place.c \
+    's/is_behind(order, now_ns) == is_for_behind) {/!is_for_behind) {/'
+mutant usual-time test_forecast src/pool/forecast.c \
+    's/return time_of(ways\[best\](/return time_of(ways[kForecastDeclared](/'
+mutant longer-waits test_wait src/pool/wait.c \
+    's/           \*find_excess(pool, order->order->priority);/           kUsualPermille;/'
+mutant unchanged-entry test_adapter platform/entries.c \
+    's/while (key_bytes > 0 \&\& at < text.size_bytes/while (false \&\& at < text.size_bytes/'
+mutant first-limit test_adapter platform/store.c \
+    's/kLimitMs = 300,/kLimitMs = 900,/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
