feat(node): the last owner in reach takes orders while it stops

Change: a stopping node refuses orders only while another owner is in reach, or 2 s before its end; stopping owners are asked where there is no other one. test_node 'the last owner serves while it stops' was red (503).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,13 +16,15 @@
 #include "shell/log.h"
 
 enum {
-    kBeatMs = 100,     ///< between two looks at the clock
-    kListenMs = 2500,  ///< that a stopping node still takes requests: the
-                       ///< balancer misses two checks, one a second
-    kQuietMs = 300,    ///< without a request, after which it may end
-    kLastCallMs = 600, ///< before the kill, by when it must end
-    kFlushMs = 100,    ///< for the last answers to go out
-    kPauseMs = 450     ///< gap of the loop that counts as a pause
+    kBeatMs = 100,        ///< between two looks at the clock
+    kListenMs = 2500,     ///< that a stopping node still takes requests: the
+                          ///< balancer misses two checks, one a second
+    kQuietMs = 300,       ///< without a request, after which it may end
+    kLastCallMs = 600,    ///< before the kill, by when it must end
+    kLastOrdersMs = 2000, ///< before it ends, from when on no order is taken;
+                          ///< most take less
+    kFlushMs = 100,       ///< for the last answers to go out
+    kPauseMs = 450        ///< gap of the loop that counts as a pause
 };
 
 /// Gives up what others no longer count on after a pause of this process.
@@ -75,19 +77,34 @@
            now_ns - node->stop_ns > (int64_t)kListenMs * kNsPerMs;
 }
 
+/// Has a stopping node take orders as long as no other owner is in reach.
+///
+/// @return whether one is
+static bool
+update_closed(node_t *node, int64_t now_ns)
+{
+    bool has_other = peers_has_owner(node);
+    int64_t last_ns =
+        node_stop_limit_ns(node) - (int64_t)kLastOrdersMs * kNsPerMs;
+    pool_set_closed(node->pool, has_other || now_ns >= last_ns);
+    return has_other;
+}
+
 /// Ends a stopping node when it has nothing left to do, or answers what is
 /// left when its time is over.
 static void
 advance_stop(node_t *node, int64_t now_ns)
 {
     pool_news_t news = pool_read_news(node->pool, now_ns);
-    if (news.order_count == 0 && news.run_count == 0) {
+    bool has_other = update_closed(node, now_ns);
+    if (has_other && news.order_count == 0 && news.run_count == 0) {
         owner_leave_all(node);
     }
     bool is_over = now_ns >= node_stop_limit_ns(node);
     if (node->end_ns == 0 && (is_over || is_finished(node, &news, now_ns))) {
         atomic_store(&node->is_closed, true);
         home_lose_all(node);
+        owner_leave_all(node);
         node->end_ns = now_ns + (int64_t)kFlushMs * kNsPerMs;
     }
     if (node->end_ns != 0 && node->end_ns <= now_ns &&
@@ -219,7 +236,7 @@
     node->stop_ns = node_now_ns(node);
     atomic_store(&node->is_draining, true);
     atomic_store(&node->is_ready, false);
-    pool_close(node->pool);
+    update_closed(node, node->stop_ns);
     record_publish(node);
     node_kick(node);
 }
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -16,10 +16,12 @@
                       ///< connection that was lost comes again after a second
     kReconnectMs = 300,
     kReconnectLimitMs = 1000,
-    kDoubtMs = 350,      ///< of silence, after which new jobs go elsewhere
-    kNewsLifeMs = 1000,  ///< after which news of a pool says nothing
-    kFullPenaltyMs = 40, ///< for a pool without room for the whole job
-    kFarPenaltyMs = 8    ///< for a pool of another data centre
+    kDoubtMs = 350,          ///< of silence, after which new jobs go elsewhere
+    kNewsLifeMs = 1000,      ///< after which news of a pool says nothing
+    kFullPenaltyMs = 40,     ///< for a pool without room for the whole job
+    kFarPenaltyMs = 8,       ///< for a pool of another data centre
+    kLeavingPenaltyMs = 1000 ///< for a pool whose node is stopping: it takes
+                             ///< orders only where it is the last
 };
 
 struct peer {
@@ -317,11 +319,23 @@
 static bool
 is_usable(const peer_t *peer, int64_t now_ns)
 {
-    return peer->is_up && peer->is_owner && !peer->is_leaving &&
+    return peer->is_up && peer->is_owner &&
            (peer->order_count == 0 ||
             now_ns - peer->conn->heard_ns < (int64_t)kDoubtMs * kNsPerMs);
 }
 
+bool
+peers_has_owner(const node_t *node)
+{
+    int64_t now_ns = clock_now_ns();
+    for (const peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
+        if (is_usable(peer, now_ns) && !peer->is_leaving) {
+            return true;
+        }
+    }
+    return false;
+}
+
 peer_t *
 peers_choose(node_t *node, const caller_job_t *job, bool *is_self)
 {
@@ -331,7 +345,7 @@
     peer_t *best = NULL;
     *is_self = false;
     if (owner_holds_any(node) && !was_tried(job, node) &&
-        !atomic_load(&node->is_draining)) {
+        !pool_is_closed(node->pool)) {
         pool_news_t news = pool_read_news(node->pool, now_ns);
         best_ms = penalty_ms((int64_t)news.free_mcores, news.backlog_ms, true,
                              needed);
@@ -346,7 +360,8 @@
         int64_t free_mcores = is_fresh ? peer->free_mcores : INT64_MAX;
         int64_t cost_ms =
             penalty_ms(free_mcores, is_fresh ? peer->backlog_ms : 0,
-                       strcmp(peer->dc, node->settings->dc) == 0, needed);
+                       strcmp(peer->dc, node->settings->dc) == 0, needed) +
+            (peer->is_leaving ? kLeavingPenaltyMs : 0);
         if (cost_ms < best_ms) {
             best_ms = cost_ms;
             best = peer;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -15,6 +15,9 @@
 /// Closes all links.
 void peers_close_all(node_t *node);
 
+/// @return whether an owner is in reach that is not stopping
+bool peers_has_owner(const node_t *node);
+
 /// Chooses the owner for a job.
 ///
 /// @param is_self  set where this node itself is the best one
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -169,9 +169,15 @@
 }
 
 void
-pool_close(pool_t *pool)
+pool_set_closed(pool_t *pool, bool is_closed)
 {
-    pool->is_closed = true;
+    pool->is_closed = is_closed;
+}
+
+bool
+pool_is_closed(const pool_t *pool)
+{
+    return pool->is_closed;
 }
 
 bool
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -184,8 +184,10 @@
 /// Stops all orders of a client that is out of reach.
 void pool_drop_client(pool_t *pool, uint64_t client, int64_t now_ns);
 
-/// Refuses new orders from now on, as the node is stopping.
-void pool_close(pool_t *pool);
+/// Sets whether new orders are refused, as the node is stopping.
+void pool_set_closed(pool_t *pool, bool is_closed);
+
+bool pool_is_closed(const pool_t *pool);
 
 /// Answers to calls.
 void pool_take_start(pool_t *pool, pool_run_t *run, const call_reply_t *reply,
--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -5,9 +5,9 @@
 #include "pool/state.h"
 
 enum {
-    kLeastLeftMs = 10, ///< of a run that is over its expected time
+    kLeastLeftMs = 10,    ///< of a run that is over its expected time
     kLongestMs = 3600000, ///< where nothing says when room will be there
-    kLearnWeight = 16, ///< one part in so many of a new wait counts
+    kLearnWeight = 16,    ///< one part in so many of a new wait counts
     kExcessLimitPermille = 20000,
     kUsualPermille = 1000
 };
@@ -132,8 +132,8 @@
     if (order->guess_ns < kUsualPermille) {
         return;
     }
-    int64_t excess = (now_ns - order->admitted_ns) /
-                     (order->guess_ns / kUsualPermille);
+    int64_t excess =
+        (now_ns - order->admitted_ns) / (order->guess_ns / kUsualPermille);
     excess = excess < kExcessLimitPermille ? excess : kExcessLimitPermille;
     uint32_t *mean = find_excess(pool, order->order->priority);
     *mean = (uint32_t)(*mean + (excess - (int64_t)*mean) / kLearnWeight);
--- a/tests/functional/test_node.c
+++ b/tests/functional/test_node.c
@@ -110,6 +110,31 @@
     fleet_end(&fleet);
 }
 
+static bool
+is_first_unready(void *state)
+{
+    (void)state;
+    return !fleet_is_ready(&fleet, 0);
+}
+
+/// While no other owner is in reach, a stopping one takes what still comes.
+static void
+test_last_owner_serves_while_it_stops(void)
+{
+    load_t load;
+    fleet_start(&fleet, 1, 1, kRunners);
+    start_load(&load, 2000, 600);
+    wait_ledger("running", kBatch);
+    fleet_signal(&fleet, 0, SIGTERM);
+    process_wait_for(is_first_unready, NULL, "the node stops");
+    CU_ASSERT_EQUAL(fleet_run_job(&fleet, 0, 2999, 2, 20), 200);
+    CU_ASSERT_EQUAL(end_load(&load, 200), kBatch);
+    CU_ASSERT_EQUAL(process_join(&fleet.nodes[0].process), 0);
+    fleet.nodes[0].is_running = false;
+    CU_ASSERT_EQUAL(fleet_ledger(&fleet, "doubles"), 0);
+    fleet_end(&fleet);
+}
+
 static bool
 is_job_served(void *state)
 {
@@ -306,6 +331,8 @@
         {"a caller that leaves stops its job",
          test_caller_that_leaves_stops_its_job},
         {"a planned stop cuts nothing", test_planned_stop_cuts_nothing},
+        {"the last owner serves while it stops",
+         test_last_owner_serves_while_it_stops},
         {"a killed owner is replaced", test_killed_owner_is_replaced},
         {"a frozen owner is replaced", test_frozen_owner_is_replaced},
         {"an outage of the store is borne", test_store_outage_is_borne},
