--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -28,6 +28,8 @@
     void (*watch)(adapter_t *adapter, bool is_close);
     /// Tells the other nodes of this one.
     void (*publish)(adapter_t *adapter, const node_record_t *record);
+    /// Drops the record of a node that is gone.
+    void (*retract)(adapter_t *adapter, const char *name);
 } adapter_ops_t;
 
 #endif
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -25,6 +25,7 @@
 typedef struct peer peer_t;
 typedef struct caller_job caller_job_t;
 typedef struct guest guest_t;
+typedef struct census census_t;
 
 /// The pool of one data centre, as this node takes part in it.
 typedef struct {
@@ -76,6 +77,7 @@
     peer_t *peers;
     guest_t *guests;
     uint64_t guest_number; ///< of the last connection accepted
+    census_t *census;
     caller_job_t *jobs;
     uint64_t request_number; ///< of the last order sent
     loop_timer_t timer;
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -190,6 +190,26 @@
     member->is_reached = peer->is_up || peer->failures == 0;
 }
 
+/// Closes the links to peers without a record, and frees those that have none
+/// and no order.
+static void
+forget_unknown(node_t *node)
+{
+    for (peer_t **at = &node->peers; *at != NULL;) {
+        peer_t *peer = *at;
+        bool is_idle = !peer->is_known && peer->order_count == 0;
+        if (is_idle && peer->conn != NULL) {
+            conn_close(peer->conn);
+        }
+        else if (is_idle) {
+            *at = peer->next;
+            loop_free_later(node->loop, peer, free);
+            continue;
+        }
+        at = &peer->next;
+    }
+}
+
 void
 peers_update(node_t *node)
 {
@@ -202,11 +222,7 @@
             update_peer(node, member);
         }
     }
-    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
-        if (!peer->is_known && peer->order_count == 0 && peer->conn != NULL) {
-            conn_close(peer->conn);
-        }
-    }
+    forget_unknown(node);
     node_kick(node);
 }
 
--- a/src/own/members.h
+++ b/src/own/members.h
@@ -14,7 +14,8 @@
     arena_t *arena;
     const node_record_t *record;
     bool is_self;
-    bool is_reached; ///< its link is up, or was not tried yet
+    bool is_reached;     ///< its link is up, or was not tried yet
+    uint32_t miss_count; ///< greetings in a row that it did not answer
 } member_t;
 
 typedef struct {
--- a/tests/functional/test_node.c
+++ b/tests/functional/test_node.c
@@ -284,6 +284,35 @@
     fleet_end(&fleet);
 }
 
+static bool
+is_name_count(void *state)
+{
+    const uint64_t *count = state;
+    return fleet_ledger(&fleet, "node_names") == *count;
+}
+
+/// The record of a node that is gone for good does not stay; that of one that
+/// was away too long comes back with it.
+static void
+test_gone_nodes_are_forgotten(void)
+{
+    uint64_t all = 3;
+    uint64_t left = 2;
+    fleet_start(&fleet, 1, 3, kRunners);
+    process_wait_for(is_name_count, &all, "all nodes have a record");
+    fleet_signal(&fleet, 2, SIGKILL);
+    process_join(&fleet.nodes[2].process);
+    process_wait_for(is_name_count, &left, "a killed node is forgotten");
+    fleet_start_node(&fleet, 2);
+    process_wait_for(is_name_count, &all, "a new one is known");
+    fleet_signal(&fleet, 1, SIGSTOP);
+    process_wait_for(is_name_count, &left, "a stopped node is forgotten");
+    fleet_signal(&fleet, 1, SIGCONT);
+    process_wait_for(is_name_count, &all, "it is known again");
+    CU_ASSERT_EQUAL(fleet_run_job(&fleet, 1, 8999, 2, 10), 200);
+    fleet_end(&fleet);
+}
+
 static void
 test_silent_connections_are_replaced(void)
 {
@@ -340,6 +369,7 @@
         {"a restarted owner leaves for its earlier process",
          test_restarted_owner_leaves_for_earlier},
         {"late records of nodes are repaired", test_late_records_are_repaired},
+        {"gone nodes are forgotten", test_gone_nodes_are_forgotten},
         {"silent connections are replaced",
          test_silent_connections_are_replaced},
         {"a draining runner gets no start",
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -565,6 +565,17 @@
     return find_topic(store, topic)->end;
 }
 
+uint64_t
+fake_store_keys(fake_store_t *store, const char *name)
+{
+    const topic_t *topic = find_topic(store, name);
+    uint64_t count = 0;
+    for (uint64_t i = 0; i < topic->end; i++) {
+        count += is_newest(topic, i);
+    }
+    return count;
+}
+
 uint64_t
 fake_store_leaves(const fake_store_t *store)
 {
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -36,6 +36,9 @@
 /// @return how many records a topic has had
 uint64_t fake_store_end(fake_store_t *store, const char *topic);
 
+/// @return how many keys a topic has
+uint64_t fake_store_keys(fake_store_t *store, const char *topic);
+
 /// @return how often a member left a group that it was in
 uint64_t fake_store_leaves(const fake_store_t *store);
 
--- a/tests/standins/users.c
+++ b/tests/standins/users.c
@@ -103,7 +103,8 @@
             "\"stopped\": %llu, \"lapsed\": %llu, \"doubles\": %llu, "
             "\"out_of_room\": %llu, \"drained\": %llu, "
             "\"running\": %llu, \"store_calls\": %llu, "
-            "\"node_records\": %llu, \"leaves\": %llu}",
+            "\"node_records\": %llu, \"node_names\": %llu, "
+            "\"leaves\": %llu}",
             (unsigned long long)ledger->starts,
             (unsigned long long)ledger->done,
             (unsigned long long)ledger->failed,
@@ -115,6 +116,7 @@
             (unsigned long long)ledger->running,
             (unsigned long long)fake_store_calls(users->store),
             (unsigned long long)fake_store_end(users->store, "keyed.nodes"),
+            (unsigned long long)fake_store_keys(users->store, "keyed.nodes"),
             (unsigned long long)fake_store_leaves(users->store));
     }
     server_reply(conn, 200, "", text, (uint32_t)strlen(text));
--- a/tests/support/nodes.c
+++ b/tests/support/nodes.c
@@ -43,7 +43,7 @@
             "\"core_share\": 0.5, \"hold_limit_ms\": 1000, "
             "\"stop_grace_ms\": 50, \"resubmit_ms\": 1300, "
             "\"stop_limit_s\": 6.0, \"member_ttl_ms\": 1000, "
-            "\"remote_factor\": 1.5}",
+            "\"remote_factor\": 1.5, \"census_ms\": 400}",
             own->address, own->address, kCallersPort, own->address, kReadyPort,
             kPeerPort, kMetricsPort, fleet->net, node + 1, kStorePort);
     fclose(file);
