--- a/src/pool/forecast.h
+++ b/src/pool/forecast.h
@@ -7,27 +7,17 @@
 
 #include <stdint.h>
 
-enum { kForecastKinds = 64 };
-
-/// The ways to expect a run time.
-typedef enum {
-    kForecastDeclared,
-    kForecastBlend,
-    kForecastUsual,
-    kForecastWayCount
-} forecast_way_t;
-
-/// What is known of the tasks of a queue. Times are on a sound target.
-typedef struct {
-    uint32_t sample_count;
-    int32_t usual_millilog; ///< mean of run times in milliseconds
-    int32_t bias_millilog;  ///< mean of run times over declared ones
-    int32_t error_millilog[kForecastWayCount]; ///< mean distance of each way
-} forecast_kind_t;
-
-typedef struct {
-    forecast_kind_t kinds[kForecastKinds]; ///< by a hash of the queue's name
-} forecast_t;
+enum { kForecastQueues = 1024 }; ///< known at once
+
+/// Kept by one thread.
+typedef struct forecast forecast_t;
+
+forecast_t *forecast_create(void);
+
+void forecast_destroy(forecast_t *forecast);
+
+/// @return how many queues are known
+uint32_t forecast_count(const forecast_t *forecast);
 
 /// @return the run time to expect of a task on a sound target, in milliseconds
 ///
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -34,7 +34,8 @@
                      .ops = ops,
                      .owner = owner,
                      .arena = arena,
-                     .targets = apr_hash_make(arena)};
+                     .targets = apr_hash_make(arena),
+                     .forecast = forecast_create()};
     wait_init(pool);
     return pool;
 }
@@ -63,6 +64,7 @@
         pool->first = order->next;
         arena_destroy(order->arena);
     }
+    forecast_destroy(pool->forecast);
     arena_destroy(pool->arena);
     free(pool);
 }
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -124,7 +124,7 @@
     }
     const pool_order_t *order = run->task->order;
     int64_t usual_ms = took_us / target->slowness_permille;
-    forecast_learn(&pool->forecast, order->order->queue,
+    forecast_learn(pool->forecast, order->order->queue,
                    order->declared_ms[run->task->step],
                    usual_ms > 0 ? (uint32_t)usual_ms : 1);
 }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -140,7 +140,7 @@
     pool_order_t *last;
     uint32_t order_count;
     uint32_t run_count;
-    forecast_t forecast;
+    forecast_t *forecast;
     uint32_t wait_excess_permille[kWaitPriorities]; ///< mean of waits over
                                                     ///< guessed ones
     int64_t trip_ns;        ///< smoothed time from a start to its answer
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -92,6 +92,8 @@
     's/is_behind(order, now_ns) == is_for_behind) {/!is_for_behind) {/'
 mutant usual-time test_forecast src/pool/forecast.c \
     's/return time_of(ways\[best\](/return time_of(ways[kForecastDeclared](/'
+mutant queues-apart test_forecast src/pool/forecast.c \
+    's/queue, APR_HASH_KEY_STRING/queue, 7/;s/^                 APR_HASH_KEY_STRING, kind/                 7, kind/'
 mutant longer-waits test_wait src/pool/wait.c \
     's/           \*find_excess(pool, order->order->priority);/           kUsualPermille;/'
 mutant unchanged-entry test_adapter platform/entries.c \
