--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -8,6 +8,7 @@
     kLeastLeftMs = 10,    ///< of a run that is over its expected time
     kLongestMs = 3600000, ///< where nothing says when room will be there
     kLearnWeight = 16,    ///< one part in so many of a new wait counts
+    kRelaxWeight = 128,   ///< as above, of an order that does not wait
     kExcessLimitPermille = 20000,
     kUsualPermille = 1000
 };
@@ -109,6 +110,13 @@
                                            : kWaitPriorities - 1];
 }
 
+/// @return a mean with a new value
+static uint32_t
+move_mean(uint32_t mean, int64_t value, int64_t weight)
+{
+    return (uint32_t)(mean + (value - (int64_t)mean) / weight);
+}
+
 void
 wait_init(pool_t *pool)
 {
@@ -122,8 +130,13 @@
 {
     order->admitted_ns = now_ns;
     order->guess_ns = guess_ns(pool, order->order, now_ns);
-    return order->guess_ns / kUsualPermille *
-           *find_excess(pool, order->order->priority);
+    uint32_t *excess = find_excess(pool, order->order->priority);
+    if (order->guess_ns == 0) {
+        // Where waits were so long that no order is let wait, none would show
+        // that they are no longer so.
+        *excess = move_mean(*excess, kUsualPermille, kRelaxWeight);
+    }
+    return order->guess_ns / kUsualPermille * *excess;
 }
 
 void
@@ -136,7 +149,7 @@
         (now_ns - order->admitted_ns) / (order->guess_ns / kUsualPermille);
     excess = excess < kExcessLimitPermille ? excess : kExcessLimitPermille;
     uint32_t *mean = find_excess(pool, order->order->priority);
-    *mean = (uint32_t)(*mean + (excess - (int64_t)*mean) / kLearnWeight);
+    *mean = move_mean(*mean, excess, kLearnWeight);
     order->guess_ns = 0;
 }
 
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -68,6 +68,23 @@
     world_clear(&world);
 }
 
+static void
+test_long_waits_are_forgotten(void)
+{
+    open_world();
+    int64_t before_ms = expect_ms(1);
+    learn_waits(1, 2000);
+    CU_ASSERT(expect_ms(1) > before_ms * 10);
+    world_run_until(&world, world.now_ns + MS_TO_NS(500));
+    for (uint32_t i = 0; i < 3 * kOrders; i++) {
+        CU_ASSERT_EQUAL(expect_ms(1), 0); // begins at once
+    }
+    world_order(&world, 0, "b1", kTasks, 100, 0);
+    world_run_until(&world, world.now_ns + MS_TO_NS(20));
+    CU_ASSERT(expect_ms(1) < before_ms * 3 / 2);
+    world_clear(&world);
+}
+
 static void
 test_priorities_are_apart(void)
 {
@@ -96,6 +113,7 @@
     const CU_TestInfo tests[] = {
         {"a wait is as guessed at first", test_wait_is_as_guessed_at_first},
         {"longer waits are learned", test_longer_waits_are_learned},
+        {"long waits are forgotten", test_long_waits_are_forgotten},
         {"priorities are apart", test_priorities_are_apart},
         {"a wait without an end is bounded", test_wait_of_no_end_is_bounded},
         CU_TEST_INFO_NULL,
