--- a/bench/run.py
+++ b/bench/run.py
@@ -213,6 +213,11 @@
               f"{process.stderr.strip()}", flush=True)
 
 
+def placement(seeds):
+    """The decisions of a node's pool, by mix of jobs and load."""
+    subprocess.run([f"{BUILD}/placement-bench", str(seeds)], check=True)
+
+
 def plot(report):
     script = report.out / "slowdown.gp"
     script.write_text(
@@ -234,6 +239,7 @@
         idle(report, 5)
         throughput(report, 2)
         virtual((50, 500))
+        placement(1)
     else:
         routing(report, ("random", "least_outstanding", "two_choices",
                          "expected", "slack"), (30, 60, 80, 95), 8000)
@@ -244,6 +250,7 @@
         idle(report, 20)
         throughput(report, 3)
         virtual((50, 200, 500, 1000, 1900))
+        placement(5)
     report.write()
     plot(report)
 
