--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -31,7 +31,6 @@
     kEjectFailures = 2, ///< failed orders in a row
     kEjectMs = 1500,
     kEjectLimitMs = 12000,
-    kDefaultSlowness = 1000
 };
 
 uint64_t
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -11,7 +11,6 @@
 #include "shell/log.h"
 
 enum {
-    kRunnerLimit = 512,
     kRunLimit = 16,
     kEndLimit = 65536,
     kNameBytes = 96,
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -8,7 +8,6 @@
     kTripNs = 500000,
     kMsNs = 1000000,
     kLeaseMs = 1000,
-    kStopNs = 20000000,
     kCores = 32000,
     kTaskCores = 14000
 };
