test: a suspended process stands still, and the leaving target is tried

test_kill: kill(SIGSTOP) returned before the process stood still, which still answered from its record (known red). process_suspend waits for the stop. test_stop 'leaving target': the case began while a front still had the list in which its VM was leaving, so the first ten jobs went to the other dispatcher, and the first one learned of the leaving target during the second ten (known red). The test now waits for the list (the front's dump tells it), and its jobs need all slots, so that each target is tried: with small jobs the mutant 'leaving' was caught only when the leaving target happened to be chosen. A missing job id ends a test with the reply and without leaving processes behind.

--- a/src/front/main.c
+++ b/src/front/main.c
@@ -47,9 +47,12 @@
         state, "draining",
         json_object_new_boolean(atomic_load(&front->is_draining)));
     rcu_read_lock();
+    const members_t *members = rcu_dereference(front->members);
+    json_object_object_add(state, "members",
+                           json_object_new_uint64(members->vm_count));
     json_object_object_add(
-        state, "members",
-        json_object_new_uint64(rcu_dereference(front->members)->vm_count));
+        state, "entry_vms",
+        json_object_new_uint64(members_count_entry_vms(members)));
     rcu_read_unlock();
 }
 
--- a/tests/functional/test_stop.c
+++ b/tests/functional/test_stop.c
@@ -15,8 +15,11 @@
     kTasks = 3,
     kLoadThreads = 4,
     kAnswersPerWait = 20,
+    kFrontPort = 7400,
     kDispatchPort = 7401,
-    kOutputBytes = 16384
+    kOutputBytes = 16384,
+    kLeavingJobs = 10,
+    kSlots = 32 ///< of the 4 targets
 };
 
 static cluster_t cluster;
@@ -179,6 +182,23 @@
     return strstr(output, "\"entry_vms\":1,") != NULL;
 }
 
+/// @return whether both fronts use their own dispatcher: they have received
+/// the list in which both entry VMs are live
+static bool
+are_fronts_local(void *state)
+{
+    char output[kOutputBytes];
+    (void)state;
+    for (uint32_t vm = 0; vm < cluster.vm_count; vm++) {
+        cluster_run_jtctl(&cluster, vm, kFrontPort, output, sizeof output,
+                          "dump");
+        if (strstr(output, "\"entry_vms\":2,") == NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// A VM still answers for its ids when the platform's list, which arrives
 /// late, says that it is leaving. A job submitted before that completes.
 static void
@@ -202,33 +222,39 @@
     cluster_publish_vms(&cluster, UINT32_MAX, UINT32_MAX);
 }
 
-/// A target that says it is leaving gets no new tasks, although the platform's
-/// list still calls it live.
+/// Completes jobs that need all slots of the targets, so that each of them is
+/// tried.
 static void
-test_leaving_target(void)
+run_wide_jobs(void)
 {
-    char job[kJobBytes];
+    static char job[kJobBytes];
     caller_request_t request;
-    cluster_set_targets(&cluster, 1, "runner=0&leaving=1");
-    cluster_format_job(job, sizeof job, kTasks, 5, 20000);
-    for (uint32_t i = 0; i < 10; i++) {
+    cluster_format_job(job, sizeof job, kSlots, 5, 20000);
+    for (uint32_t i = 0; i < kLeavingJobs; i++) {
         char id[kCallerIdBytes];
         cluster_create_job_id(&cluster, 0, id);
         CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
         caller_free_replies(&request, 1);
     }
+}
+
+/// A target that says it is leaving gets no new tasks, although the platform's
+/// list still calls it live. All jobs go through one dispatcher: each learns
+/// of the leaving by itself.
+static void
+test_leaving_target(void)
+{
+    caller_request_t request;
+    process_wait_for(are_fronts_local, NULL, "the list is in force");
+    cluster_set_targets(&cluster, 1, "runner=0&leaving=1");
+    run_wide_jobs();
     // Each shard sends at most one request before it learns of the leaving.
     caller_send(&request, "GET", NULL,
                 "http://127.%u.101.1:9001/standin/ledger", cluster.network);
     CU_ASSERT(caller_reply_number(&request, "refused") <= 40);
     caller_free_replies(&request, 1);
     uint64_t refused = cluster_read_counter(&cluster, "refused");
-    for (uint32_t i = 0; i < 10; i++) {
-        char id[kCallerIdBytes];
-        cluster_create_job_id(&cluster, 0, id);
-        CU_ASSERT_EQUAL(cluster_submit(&cluster, 0, id, job, &request), 200);
-        caller_free_replies(&request, 1);
-    }
+    run_wide_jobs();
     CU_ASSERT_EQUAL(cluster_read_counter(&cluster, "refused"), refused);
     cluster_set_targets(&cluster, 1, "runner=0&leaving=0");
 }
--- a/tests/support/cluster.c
+++ b/tests/support/cluster.c
@@ -85,6 +85,10 @@
 cluster_signal(cluster_t *cluster, uint32_t vm, cluster_process_t process,
                int number)
 {
+    if (number == SIGSTOP) {
+        process_suspend(&cluster->vms[vm].processes[process]);
+        return;
+    }
     apr_proc_kill(&cluster->vms[vm].processes[process], number);
 }
 
@@ -440,7 +444,13 @@
     caller_request_t request;
     caller_send(&request, "POST", "", "http://%s:8080/v1/jobs",
                 cluster->vms[vm].address);
-    snprintf(id, kCallerIdBytes, "%s", strrchr(request.location, '/') + 1);
+    const char *slash = strrchr(request.location, '/');
+    if (slash == NULL) {
+        fprintf(stderr, "cluster: no job id: status %u %.300s\n",
+                request.status, request.reply == NULL ? "" : request.reply);
+        process_abort();
+    }
+    snprintf(id, kCallerIdBytes, "%s", slash + 1);
     caller_free_replies(&request, 1);
 }
 
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 enum {
@@ -32,14 +33,15 @@
     }
 }
 
-static void
-kill_all(void)
+void
+process_abort(void)
 {
     for (uint32_t i = 0; i < kMaxProcesses; i++) {
         if (running_pids[i] != 0) {
             kill(running_pids[i], SIGKILL);
         }
     }
+    abort();
 }
 
 void
@@ -49,8 +51,7 @@
     while (!holds(state)) {
         if (apr_time_now() > deadline_us) {
             fprintf(stderr, "process: timed out waiting until %s\n", what);
-            kill_all();
-            abort();
+            process_abort();
         }
         apr_sleep(kPollIntervalUs);
     }
@@ -125,6 +126,18 @@
     return why == APR_PROC_EXIT ? code : -1;
 }
 
+void
+process_suspend(const apr_proc_t *process)
+{
+    int state = 0;
+    kill(process->pid, SIGSTOP);
+    if (waitpid(process->pid, &state, WUNTRACED) != process->pid ||
+        !WIFSTOPPED(state)) {
+        fprintf(stderr, "process: %d did not stop\n", (int)process->pid);
+        process_abort();
+    }
+}
+
 void
 process_kill(apr_proc_t *process)
 {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -21,6 +21,10 @@
 void process_spawn(apr_pool_t *pool, const char *folder, apr_proc_t *process,
                    const char *name, const char *const *arguments);
 
+/// Sends SIGSTOP to a process and waits until all of its threads have stopped.
+/// Until then, a process that was sent the signal still answers.
+void process_suspend(const apr_proc_t *process);
+
 /// Sends SIGKILL to a process and waits for its exit.
 void process_kill(apr_proc_t *process);
 
@@ -29,6 +33,9 @@
 /// @return its exit code, or -1 when a signal killed it
 int process_join(apr_proc_t *process);
 
+/// Kills all processes that the test started and aborts.
+void process_abort(void);
+
 /// Polls a condition until it holds. After 60 s, kills all processes that the
 /// test started and aborts.
 ///
