front: a link is silent only while calls are outstanding

Cause: the silence of a link was counted from the last byte received, also over the time in which nothing was outstanding. A call of over silence_limit_ms on a link that had been idle closed the link at the first check, without a ping. The call was repeated over a new link; an id that a caller requested in between came from another dispatcher or from none. Change: silence counts from the call that made the link busy. test_silence has a slow job on an idle link.

--- a/src/front/dispatcher_link.c
+++ b/src/front/dispatcher_link.c
@@ -149,6 +149,9 @@
         return;
     }
     relay_t *relay = link->relay;
+    if (link->sent_calls == NULL) {
+        link->busy_since_ns = clock_now_ns();
+    }
     call->link = link;
     call->request = ++relay->next_request;
     apr_hash_set(relay->calls_by_request, &call->request, sizeof call->request,
@@ -489,6 +492,16 @@
     }
 }
 
+/// @return since when a connection has been silent although data was expected.
+///         Time in which no call was outstanding does not count.
+static int64_t
+silent_since_ns(const dispatcher_link_t *link)
+{
+    return link->busy_since_ns > link->conn->last_received_ns
+               ? link->busy_since_ns
+               : link->conn->last_received_ns;
+}
+
 /// Sends a ping over a connection that has outstanding calls and received
 /// nothing for silence_limit_ms. After twice that time, closes it, so that the
 /// calls are sent again over a new one. A connection on which no hello arrives
@@ -503,12 +516,13 @@
     int64_t limit_ns =
         (int64_t)link->relay->settings->silence_limit_ms * kNsPerMs;
     int64_t now_ns = clock_now_ns();
-    if (now_ns - link->conn->last_received_ns >= 2 * limit_ns) {
+    int64_t silence_ns = now_ns - silent_since_ns(link);
+    if (silence_ns >= 2 * limit_ns) {
         log_event("home_silent", "dc=%u vm=%u", link->dc, link->vm);
         conn_close(link->conn);
         return;
     }
-    if (link->is_ready && now_ns - link->conn->last_received_ns >= limit_ns) {
+    if (link->is_ready && silence_ns >= limit_ns) {
         ping_message_t ping = {.number = 1};
         conn_send(link->conn, kMessagePing, &ping);
     }
--- a/src/front/relay.h
+++ b/src/front/relay.h
@@ -30,6 +30,7 @@
     uint32_t failure_count; ///< connections closed since the last hello
     call_t *queued_calls;   ///< calls that wait for the connection
     call_t *sent_calls;     ///< calls that wait for an answer
+    int64_t busy_since_ns;  ///< when sent_calls last became non-empty
     loop_timer_t retry_timer;
     loop_timer_t silence_timer;
     id_pool_t id_pool;
--- a/tests/functional/test_silence.c
+++ b/tests/functional/test_silence.c
@@ -3,12 +3,22 @@
 /// forwards the connections and causes both. Guards against calls that wait on
 /// a silent connection forever and against tasks that start twice.
 #include <apr_general.h>
+#include <apr_time.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "support/cluster.h"
 #include "support/suite.h"
 
-enum { kJobBytes = 4096, kTasks = 4, kWarmupJobs = 10 };
+enum {
+    kJobBytes = 4096,
+    kTasks = 4,
+    kWarmupJobs = 10,
+    kOutputBytes = 16384,
+    kFrontControlPort = 7400,
+    kIdleUs = 1000000, ///< 2.5 times the silence after which a link is closed
+    kSlowTaskMs = 350  ///< longer than silence_limit_ms, shorter than twice it
+};
 
 static cluster_t cluster;
 
@@ -40,6 +50,35 @@
     return is_complete;
 }
 
+/// @return how many links to dispatchers a front has lost
+static uint64_t
+read_lost_links(uint32_t vm)
+{
+    char output[kOutputBytes];
+    CU_ASSERT_EQUAL(cluster_run_jtctl(&cluster, vm, kFrontControlPort, output,
+                                      sizeof output, "counters"),
+                    0);
+    const char *line = strstr(output, "links_lost ");
+    return line == NULL ? 0 : strtoull(strchr(line, ' '), NULL, 10);
+}
+
+/// A link that was idle before a slow job is not silent: only the time since
+/// the call counts. Otherwise the front closes the link, and ids that callers
+/// request meanwhile come from another dispatcher or from none.
+static void
+test_slow_job_after_idle_link(void)
+{
+    caller_request_t request;
+    process_wait_for(job_completes, NULL, "a job completes");
+    uint64_t before = read_lost_links(0);
+    apr_sleep(kIdleUs);
+    run_job(0, kSlowTaskMs, 5000, &request);
+    CU_ASSERT_EQUAL(request.status, 200);
+    caller_free_replies(&request, 1);
+    CU_ASSERT_EQUAL(read_lost_links(0), before);
+    check_no_double_start();
+}
+
 /// The link between front and dispatcher goes silent while a job runs: the
 /// front detects it and asks again over a new connection.
 static void
@@ -127,6 +166,7 @@
 main(void)
 {
     static const CU_TestInfo tests[] = {
+        {"slow job after an idle link", test_slow_job_after_idle_link},
         {"silent link", test_silent_link},
         {"silent idle connections", test_silent_idle_connections},
         {"cut off data centre", test_data_centre_cut_off},
