node: the nodes of a data centre pass targets on to each other

Cause: each node read all records of targets from the store, 300 bytes for each target and 1.5 s. Change: two readers a data centre read the store (the nodes with the largest core shares); the others follow one of them over the links between nodes and get what changed, with the position in the store's log and the age of the state (src/ownership/feed.c decides, src/node/target_feed.c sends and receives). A node whose feed is not fresh for 1 s takes another reader, and reads the store itself after 0.1 to 0.3 s more. Nodes that own nothing get counts only. A state is never taken from a reader that is behind the node's own position. Nodes of other data centres read targets only when they may soon own them. The removal delay of targets moved from the adapter to the catalog. Links go to all owners of the own data centre and to 4 of each other one. A member's record updates one peer, not all; memberships are decided when something has changed, as each decision costs time in proportion to nodes and data centres.

--- a/src/node/adapter.h
+++ b/src/node/adapter.h
@@ -9,6 +9,13 @@
 
 typedef struct adapter adapter_t;
 
+/// Whether and how often the node reads the records of targets.
+typedef enum {
+    kTargetReadsNone, ///< it gets them from another node
+    kTargetReadsSlow, ///< it starts no tasks
+    kTargetReadsFast  ///< it starts tasks, or other nodes get them from it
+} target_reads_t;
+
 typedef struct {
     /// Start or stop a run on a target, or list the runs of a target; answered
     /// by node_handle_start_reply, node_handle_stop_reply and
@@ -25,9 +32,9 @@
                  uint64_t generation);
     /// Leaves the group.
     void (*leave)(adapter_t *adapter, const char *dc, const char *member_id);
-    /// Sets whether this node is an owner: owners need changes of targets
-    /// sooner than other nodes.
-    void (*set_owner)(adapter_t *adapter, bool is_owner);
+    /// Sets how often to read the records of targets. Reads that begin again
+    /// start with a list of all.
+    void (*set_target_reads)(adapter_t *adapter, target_reads_t reads);
     /// Publishes this node's record to the other nodes.
     void (*publish_record)(adapter_t *adapter, const node_record_t *record);
     /// Deletes the record of a node that no longer runs.
--- a/src/node/catalog.c
+++ b/src/node/catalog.c
@@ -3,8 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/target_feed.h"
+#include "runtime/clock.h"
 #include "runtime/log.h"
 
+enum {
+    kRemovalDelayMs = 2200 ///< by then, records that expired during an outage
+                           ///< of the store have been written again
+};
+
 dc_group_t *
 catalog_find_group(node_t *node, const char *dc)
 {
@@ -16,6 +23,15 @@
     return NULL;
 }
 
+void
+catalog_set_count(node_t *node, dc_group_t *group, uint32_t count)
+{
+    if (group->target_count != count) {
+        group->target_count = count;
+        node_schedule_membership(node);
+    }
+}
+
 /// Adds a target to the pool if this node holds its partition, and removes it
 /// otherwise. A target of a revoked partition gets no new runs.
 static void
@@ -64,6 +80,7 @@
 static void
 remove_target(node_t *node, catalog_target_t *target)
 {
+    target->group->catalog_count--;
     apr_hash_set(node->targets_by_id, target->info.id, APR_HASH_KEY_STRING,
                  NULL);
     *(target->prev == NULL ? &node->catalog : &target->prev->next) =
@@ -71,7 +88,22 @@
     if (target->next != NULL) {
         target->next->prev = target->prev;
     }
+    pool_drop_target(node->pool, target->info.id, node_update_now_ns(node));
     free(target);
+    node_schedule_advance(node);
+}
+
+static catalog_target_t *
+find_target(const node_t *node, const char *id)
+{
+    return apr_hash_get(node->targets_by_id, id, APR_HASH_KEY_STRING);
+}
+
+static void
+mark_listed(const node_t *node, catalog_target_t *target)
+{
+    target->list_number = node->catalog_list_number;
+    target->missing_since_ns = 0;
 }
 
 void
@@ -83,11 +115,10 @@
                   info->id, info->dc);
         return;
     }
-    catalog_target_t *target =
-        apr_hash_get(node->targets_by_id, info->id, APR_HASH_KEY_STRING);
+    catalog_target_t *target = find_target(node, info->id);
     if (target == NULL) {
         target = add_target(node, info, group);
-        group->target_count++;
+        group->catalog_count++;
     }
     else if (target->info.is_draining != info->is_draining) {
         log_event("target_state", "id=%s draining=%d", info->id,
@@ -95,21 +126,116 @@
     }
     target->info = *info;
     target->group = group;
+    mark_listed(node, target);
+    target_feed_add_change(node, info);
     update_target(node, target, node_update_now_ns(node));
     node_schedule_advance(node);
 }
 
-void
-node_remove_target(node_t *node, const char *id)
+bool
+node_keep_target(node_t *node, const char *id)
 {
-    catalog_target_t *target =
-        apr_hash_get(node->targets_by_id, id, APR_HASH_KEY_STRING);
-    if (target == NULL) {
+    catalog_target_t *target = find_target(node, id);
+    if (target != NULL) {
+        mark_listed(node, target);
+    }
+    return target != NULL;
+}
+
+static void
+mark_missing(node_t *node, catalog_target_t *target)
+{
+    if (target->missing_since_ns != 0) {
         return;
     }
-    log_event("target_gone", "id=%s", id);
-    target->group->target_count--;
-    pool_drop_target(node->pool, id, node_update_now_ns(node));
-    remove_target(node, target);
+    target->missing_since_ns = node_update_now_ns(node);
+    int64_t due_ns =
+        target->missing_since_ns + (int64_t)kRemovalDelayMs * kNsPerMs;
+    if (due_ns < node->missing_due_ns) {
+        node->missing_due_ns = due_ns;
+    }
     node_schedule_advance(node);
 }
+
+void
+node_remove_target(node_t *node, const char *id)
+{
+    catalog_target_t *target = find_target(node, id);
+    if (target != NULL) {
+        mark_missing(node, target);
+    }
+}
+
+void
+node_begin_target_list(node_t *node)
+{
+    node->catalog_list_number++;
+}
+
+void
+catalog_end_list(node_t *node, const dc_group_t *group)
+{
+    for (catalog_target_t *target = node->catalog; target != NULL;
+         target = target->next) {
+        if ((group == NULL || target->group == group) &&
+            target->list_number != node->catalog_list_number) {
+            mark_missing(node, target);
+        }
+    }
+}
+
+void
+node_end_target_list(node_t *node)
+{
+    catalog_end_list(node, NULL);
+}
+
+void
+catalog_remove_target(node_t *node, const char *id)
+{
+    catalog_target_t *target = find_target(node, id);
+    if (target != NULL) {
+        log_event("target_gone", "id=%s", id);
+        target_feed_add_removal(node, id);
+        remove_target(node, target);
+    }
+}
+
+void
+catalog_forget_targets(node_t *node, const dc_group_t *kept)
+{
+    catalog_target_t *next;
+    for (catalog_target_t *target = node->catalog; target != NULL;
+         target = next) {
+        next = target->next;
+        if (target->group != kept) {
+            remove_target(node, target);
+        }
+    }
+}
+
+int64_t
+catalog_advance(node_t *node, int64_t now_ns)
+{
+    if (node->missing_due_ns > now_ns) {
+        return node->missing_due_ns;
+    }
+    node->missing_due_ns = INT64_MAX;
+    catalog_target_t *next;
+    for (catalog_target_t *target = node->catalog; target != NULL;
+         target = next) {
+        next = target->next;
+        int64_t due_ns =
+            target->missing_since_ns + (int64_t)kRemovalDelayMs * kNsPerMs;
+        if (target->missing_since_ns == 0) {
+            continue;
+        }
+        if (due_ns <= now_ns) {
+            catalog_remove_target(node, target->info.id);
+        }
+        else if (due_ns < node->missing_due_ns) {
+            node->missing_due_ns = due_ns;
+        }
+    }
+    return node->missing_due_ns;
+}
--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -4,6 +4,7 @@
 
 #include "codec/pack.h"
 #include "node/coordinator.h"
+#include "node/target_feed.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
@@ -14,6 +15,7 @@
     conn_t *conn;
     uint64_t number;      ///< identifies the client to the pool
     uint32_t order_count; ///< unsettled orders
+    follower_t *follower; ///< NULL if it does not follow this node's targets
 };
 
 static void
@@ -55,11 +57,29 @@
     arena_destroy(arena);
 }
 
+static void
+handle_follow(client_t *client, bytes_t body)
+{
+    follow_message_t follow;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &follow_message_desc, arena, &follow, &err)) {
+        client->follower = target_feed_handle_follow(
+            client->node, client->follower, client->conn, &follow);
+    }
+    else {
+        log_event("bad_message", "reason=\"%s\"", err.text);
+        conn_close(client->conn);
+    }
+    arena_destroy(arena);
+}
+
 typedef void (*handler_t)(client_t *client, bytes_t body);
 
 static const handler_t handlers[kMessageCount] = {
     [kMessageAssign] = handle_assign,
     [kMessageWithdraw] = handle_withdraw,
+    [kMessageFollow] = handle_follow,
 };
 
 static void
@@ -94,6 +114,7 @@
     if (client->next != NULL) {
         client->next->prev = client->prev;
     }
+    target_feed_remove_follower(node, client->follower);
     pool_drop_client(node->pool, client->number, clock_now_ns());
     node_schedule_advance(node);
     loop_free_later(node->loop, client, free);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,12 +6,14 @@
 #include <urcu-bp.h>
 
 #include "base/counters.h"
+#include "node/catalog.h"
 #include "node/clients.h"
 #include "node/coordinator.h"
 #include "node/liveness.h"
 #include "node/owner.h"
 #include "node/peers.h"
 #include "node/record.h"
+#include "node/target_feed.h"
 #include "runtime/app.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -130,7 +132,9 @@
     due_ns = min_ns(due_ns, clients_advance(node, now_ns));
     due_ns = min_ns(due_ns, pool_advance(node->pool, now_ns));
     due_ns = min_ns(due_ns, peers_advance(node, now_ns));
+    due_ns = min_ns(due_ns, target_feed_advance(node, now_ns));
     due_ns = min_ns(due_ns, owner_advance(node, now_ns));
+    due_ns = min_ns(due_ns, catalog_advance(node, now_ns));
     due_ns = min_ns(due_ns, liveness_advance(node, now_ns));
     if (node->stop_ns != 0) {
         advance_stop(node, now_ns);
@@ -201,6 +205,13 @@
     loop_defer(node->loop, &node->advance);
 }
 
+void
+node_schedule_membership(node_t *node)
+{
+    node->membership_version++;
+    node_schedule_advance(node);
+}
+
 node_t *
 node_create(const node_settings_t *settings, arena_t *arena)
 {
@@ -217,7 +228,10 @@
                             node->control.hello.nonce);
     loop_timer_init(&node->due_timer, on_due, node);
     loop_timer_init(&node->tick_timer, on_tick, node);
+    node->missing_due_ns = INT64_MAX;
     owner_init(node);
+    peers_init(node);
+    target_feed_init(node);
     liveness_init(node);
     return node;
 }
@@ -248,7 +262,7 @@
     atomic_store(&node->is_ready, false);
     update_pool_closed(node, node->stop_ns);
     record_publish(node);
-    node_schedule_advance(node);
+    node_schedule_membership(node);
 }
 
 void
@@ -297,8 +311,7 @@
         node_handle_own_record(node, record);
         return;
     }
-    members_put(&node->members, record);
-    peers_update(node);
+    peers_put(node, members_put(&node->members, record));
 }
 
 void
@@ -308,7 +321,7 @@
         node->listed_ns = node_update_now_ns(node);
         record_publish(node);
     }
-    node_schedule_advance(node);
+    node_schedule_membership(node);
 }
 
 void
@@ -319,7 +332,7 @@
         return;
     }
     members_remove(&node->members, name);
-    peers_update(node);
+    peers_remove(node, name);
 }
 
 static void
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
 typedef struct caller_job caller_job_t;
 typedef struct client client_t;
 typedef struct liveness liveness_t;
+typedef struct target_feed target_feed_t;
 
 /// The group of nodes that own the targets of one data centre, as seen by this
 /// node.
@@ -47,6 +48,13 @@
     int64_t probe_due_ns;       ///< when to send the next probe
     uint32_t probe_count;       ///< probes sent; each goes to the next target
     uint32_t target_count;      ///< listed by the platform
+    uint32_t catalog_count;     ///< of these, targets in the catalog
+    uint64_t decided_version;   ///< membership_version of the last decision
+    int64_t decide_due_ns;      ///< when to decide on the membership again
+                                ///< without a change
+    bool needs_targets;         ///< this node may soon join, and needs the
+                                ///< targets although they are in another
+                                ///< data centre
 } dc_group_t;
 
 struct node {
@@ -70,9 +78,15 @@
     uint32_t group_count;
     struct catalog_target *catalog; ///< targets that the platform lists
     apr_hash_t *targets_by_id;      ///< the targets of the catalog
+    uint64_t catalog_list_number;   ///< of the list that is being received
+    uint64_t catalog_offset; ///< in the store's log, up to which the catalog
+                             ///< is known
+    int64_t missing_due_ns;  ///< when to remove missing targets, or INT64_MAX
+    target_feed_t *feed;
     members_t members;
+    uint64_t membership_version; ///< increases with each change that
+                                 ///< memberships of groups depend on
     int64_t listed_ns; ///< when all members were first listed; 0: not yet
-    bool is_owner;     ///< is in any group, as reported to the adapter
     bool is_restarted; ///< an earlier process of this node left a record
     member_t *self;
     int64_t republish_due_ns; ///< when to publish the record again because
@@ -80,6 +94,7 @@
                               ///< the published one
     uint32_t republish_count; ///< in a row
     peer_t *peers;
+    struct peer_plan *peer_plan; ///< which links are wanted
     client_t *clients;
     uint64_t client_number; ///< of the last connection accepted
     liveness_t *liveness;
@@ -116,6 +131,11 @@
 /// current iteration.
 void node_schedule_advance(node_t *node);
 
+/// Schedules new decisions on the memberships of groups. They take time in
+/// proportion to the number of nodes and data centres, so they are made only
+/// when something has changed that they depend on.
+void node_schedule_membership(node_t *node);
+
 /// Begins a graceful stop; on_stopped is called at its end. Loop thread only.
 void node_stop(node_t *node);
 
@@ -133,9 +153,31 @@
 /// over in both cases. Loop thread only.
 void node_publish_queues(node_t *node, queue_table_t *table);
 
-/// Changes of targets and nodes that the platform reports. Loop thread only.
+/// A target's record has a new value. Loop thread only, as the functions
+/// below.
 void node_put_target(node_t *node, const pool_target_info_t *info);
+
+/// A target's record has been read again without a change.
+///
+/// @return false if the catalog does not have the target
+bool node_keep_target(node_t *node, const char *id);
+
+/// A target's record was deleted. The target is removed only if the record is
+/// still missing after a delay, as records also expire while the store is
+/// away.
 void node_remove_target(node_t *node, const char *id);
+
+/// A list of all targets begins, and ends. Targets that were neither put nor
+/// kept between the two are missing.
+void node_begin_target_list(node_t *node);
+void node_end_target_list(node_t *node);
+
+/// The records of targets have been read up to a position in the store's log.
+///
+/// @param read_ns  when the read was sent
+void node_handle_targets_read(node_t *node, uint64_t offset, int64_t read_ns);
+
+/// Changes of nodes that the platform reports.
 void node_put_member(node_t *node, const node_record_t *record);
 void node_remove_member(node_t *node, const char *name);
 
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -131,7 +131,10 @@
 static const pool_target_info_t *
 next_probe_target(const node_t *node, dc_group_t *group)
 {
-    uint32_t skip = group->probe_count++ % group->target_count;
+    if (group->catalog_count == 0) {
+        return NULL;
+    }
+    uint32_t skip = group->probe_count++ % group->catalog_count;
     const pool_target_info_t *found = NULL;
     for (const catalog_target_t *target = node->catalog; target != NULL;
          target = target->next) {
@@ -183,7 +186,7 @@
         group->reachable_since_ns = now_ns;
     }
     group->probe_reply_ns = now_ns;
-    node_schedule_advance(node);
+    node_schedule_membership(node);
 }
 
 /// Updates the time since which a condition holds; 0 while it does not.
@@ -205,6 +208,8 @@
     uint32_t per_owner = node->settings->targets_per_owner;
     uint32_t wanted = (group->target_count + per_owner / 2) / per_owner;
     wanted = wanted < 1 ? 1 : wanted;
+    wanted =
+        wanted > group->partitions.count ? group->partitions.count : wanted;
     wanted = wanted > local_count && local_count > 0 ? local_count : wanted;
     candidate_t candidate = {
         .rank = members_find_rank(&node->members, node->self, group->dc),
@@ -265,9 +270,9 @@
 
 /// Joins or leaves a group, depending on its other owners.
 ///
-/// @return when to call it again
+/// @return when to decide again
 static int64_t
-update_membership(node_t *node, dc_group_t *group, int64_t now_ns)
+decide_membership(node_t *node, dc_group_t *group, int64_t now_ns)
 {
     if (atomic_load(&node->is_draining) || group->target_count == 0 ||
         node->listed_ns == 0) {
@@ -282,9 +287,9 @@
     }
     candidate_t candidate = make_candidate(node, group, now_ns);
     int64_t join_ns = candidate_join_ns(&candidate, now_ns);
-    int64_t probe_ns = INT64_MAX;
-    if (!candidate.is_local && !candidate.is_owner &&
-        candidate.shortage_since_ns != 0) {
+    int64_t probe_ns = candidate_prepare_ns(&candidate);
+    group->needs_targets = probe_ns <= now_ns;
+    if (group->needs_targets) {
         probe_ns = probe_dc(node, group, now_ns);
     }
     if (join_ns <= now_ns) {
@@ -304,19 +309,19 @@
     return join_ns < leave_ns ? join_ns : leave_ns;
 }
 
-/// Tells the platform when this node becomes or stops being an owner, that is,
-/// a member of any group.
-static void
-update_is_owner(node_t *node)
+/// Decides on the membership of a group again if something has changed or it
+/// is time.
+///
+/// @return when to call it again
+static int64_t
+update_membership(node_t *node, dc_group_t *group, int64_t now_ns)
 {
-    bool is_owner = false;
-    for (uint32_t i = 0; i < node->group_count; i++) {
-        is_owner |= node->groups[i].is_joined;
-    }
-    if (is_owner != node->is_owner) {
-        node->is_owner = is_owner;
-        node->adapter_ops->set_owner(node->adapter, is_owner);
+    if (group->decided_version != node->membership_version ||
+        group->decide_due_ns <= now_ns) {
+        group->decided_version = node->membership_version;
+        group->decide_due_ns = decide_membership(node, group, now_ns);
     }
+    return group->decide_due_ns;
 }
 
 int64_t
@@ -341,7 +346,6 @@
             due_ns = group->join_due_ns;
         }
     }
-    update_is_owner(node);
     return due_ns;
 }
 
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -1,10 +1,13 @@
 #include "node/peers.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "codec/pack.h"
 #include "node/owner.h"
+#include "node/target_feed.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
@@ -17,13 +20,16 @@
     kHelloTimeoutMs = 250,
     kReconnectStepMs = 300, ///< added to the delay by each failure
     kReconnectLimitMs = 1000,
-    kMaxSilenceMs = 350,      ///< a link with unsettled orders gets no new
-                              ///< ones after this time without a message
-    kPoolStatusTtlMs = 1000,  ///< a pool's status is valid for this long
-    kFullPoolPenaltyMs = 40,  ///< for a pool too full for the whole job
-    kRemotePenaltyMs = 8,     ///< for a pool of another data centre
-    kStoppingPenaltyMs = 1000 ///< for a pool whose node is stopping: it takes
-                              ///< orders only while there is no other owner
+    kMaxSilenceMs = 350,       ///< a link with unsettled orders gets no new
+                               ///< ones after this time without a message
+    kPoolStatusTtlMs = 1000,   ///< a pool's status is valid for this long
+    kFullPoolPenaltyMs = 40,   ///< for a pool too full for the whole job
+    kRemotePenaltyMs = 8,      ///< for a pool of another data centre
+    kStoppingPenaltyMs = 1000, ///< for a pool whose node is stopping: it takes
+                               ///< orders only while there is no other owner
+    /// Links to owners of another data centre. With links to all of them,
+    /// their number would grow with the square of the number of nodes.
+    kRemoteOwnerLinks = 4
 };
 
 struct peer {
@@ -39,6 +45,11 @@
     bool is_owner;
     bool is_leaving;
     bool has_record;        ///< is in the list of members
+    bool is_local;          ///< is in this node's data centre, or owns targets
+                            ///< of it
+    bool is_wanted;         ///< there should be a link
+    uint64_t affinity;      ///< owners of another data centre with the lowest
+                            ///< values get links; differs between nodes
     uint32_t order_count;   ///< unsettled orders
     uint32_t link_failures; ///< in a row
     int64_t connect_due_ns;
@@ -49,13 +60,20 @@
     uint32_t backlog_ms;
 };
 
+/// Which links this node wants. Derived from the members and from the state of
+/// the links whenever one of them changes.
+typedef struct peer_plan {
+    bool is_outdated;
+    uint32_t rank;                       ///< of this node in its data centre
+    peer_t *candidates[kFeedCandidates]; ///< nodes that may be followed
+    uint32_t candidate_count;
+} peer_plan_t;
+
 static void
-set_reachable(peer_t *peer, bool is_reachable)
+invalidate_plan(node_t *node)
 {
-    member_t *member = members_find(&peer->node->members, peer->name);
-    if (member != NULL) {
-        member->is_reachable = is_reachable;
-    }
+    node->peer_plan->is_outdated = true;
+    node_schedule_membership(node);
 }
 
 static void
@@ -73,9 +91,8 @@
     (void)body;
     peer->is_up = true;
     peer->link_failures = 0;
-    set_reachable(peer, true);
     log_event("peer_up", "peer=%s", peer->name);
-    node_schedule_advance(peer->node);
+    invalidate_plan(peer->node);
 }
 
 static void
@@ -105,11 +122,29 @@
     arena_destroy(arena);
 }
 
+static void
+handle_targets_update(peer_t *peer, bytes_t body)
+{
+    targets_update_message_t update;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &targets_update_message_desc, arena, &update,
+                          &err)) {
+        target_feed_handle_update(peer->node, peer->name, &update);
+    }
+    else {
+        log_event("bad_message", "reason=\"%s\"", err.text);
+        conn_close(peer->conn);
+    }
+    arena_destroy(arena);
+}
+
 typedef void (*handler_t)(peer_t *peer, bytes_t body);
 
 static const handler_t handlers[kMessageCount] = {
     [kMessageHello] = handle_hello,
     [kMessageSettled] = handle_settled,
+    [kMessageTargetsUpdate] = handle_targets_update,
 };
 
 static void
@@ -139,16 +174,15 @@
         clock_now_ns() +
         (int64_t)kNsPerMs *
             (wait_ms < kReconnectLimitMs ? wait_ms : kReconnectLimitMs);
-    set_reachable(peer, false);
     coordinator_mark_peer_jobs_lost(peer->node, peer);
-    node_schedule_advance(peer->node);
+    invalidate_plan(peer->node);
 }
 
 static const conn_ops_t conn_ops = {
     .on_open = on_open, .on_message = on_message, .on_close = on_close};
 
 static peer_t *
-find_peer(node_t *node, const char *name)
+find_peer(const node_t *node, const char *name)
 {
     peer_t *peer = node->peers;
     while (peer != NULL && strcmp(peer->name, name) != 0) {
@@ -157,18 +191,27 @@
     return peer;
 }
 
-/// Creates or updates the peer of a member from the member's record.
-static void
-update_peer(node_t *node, member_t *member)
+static peer_t *
+create_peer(node_t *node, const char *name)
+{
+    char pair[2 * sizeof(((peer_t *)0)->name)];
+    peer_t *peer = calloc(1, sizeof *peer);
+    peer->node = node;
+    strncpy(peer->name, name, sizeof peer->name - 1);
+    snprintf(pair, sizeof pair, "%s %s", node->settings->name, peer->name);
+    peer->affinity = hash_text(pair);
+    peer->next = node->peers;
+    node->peers = peer;
+    return peer;
+}
+
+void
+peers_put(node_t *node, member_t *member)
 {
     const node_record_t *record = member->record;
     peer_t *peer = find_peer(node, record->name);
     if (peer == NULL) {
-        peer = calloc(1, sizeof *peer);
-        peer->node = node;
-        strncpy(peer->name, record->name, sizeof peer->name - 1);
-        peer->next = node->peers;
-        node->peers = peer;
+        peer = create_peer(node, record->name);
     }
     bool has_moved = strcmp(peer->address, record->address) != 0 ||
                      peer->port != record->port;
@@ -178,6 +221,8 @@
     peer->port = record->port;
     peer->nonce = record->nonce;
     peer->is_owner = record->pools_count > 0;
+    peer->is_local = strcmp(record->dc, node->settings->dc) == 0 ||
+                     member_owns_dc(member, node->settings->dc);
     peer->is_leaving = record->is_leaving;
     peer->has_record = true;
     // A record may be out of date. While a link is up, the process at its
@@ -190,7 +235,17 @@
         peer->link_failures = 0;
         peer->connect_due_ns = 0;
     }
-    member->is_reachable = peer->is_up || peer->link_failures == 0;
+    invalidate_plan(node);
+}
+
+/// Closes the link of a peer that is not wanted and has no unsettled order.
+/// That does not count as a failure of the link.
+static void
+close_unwanted_link(peer_t *peer)
+{
+    conn_close(peer->conn);
+    peer->link_failures = 0;
+    peer->connect_due_ns = 0;
 }
 
 /// Removes peers that have neither a record nor an unsettled order: closes
@@ -214,19 +269,185 @@
 }
 
 void
-peers_update(node_t *node)
+peers_remove(node_t *node, const char *name)
 {
-    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
+    peer_t *peer = find_peer(node, name);
+    if (peer != NULL) {
         peer->has_record = false;
     }
-    for (member_t *member = node->members.first; member != NULL;
+    invalidate_plan(node);
+}
+
+void
+peers_update_self(node_t *node)
+{
+    invalidate_plan(node);
+}
+
+/// @return the local member that ranks next after `last`, or NULL
+static const member_t *
+find_next_candidate(const node_t *node, const member_t *last)
+{
+    const char *dc = node->settings->dc;
+    const member_t *best = NULL;
+    for (const member_t *member = node->members.first; member != NULL;
          member = member->next) {
-        if (!member->is_self) {
-            update_peer(node, member);
+        if (member->is_self || member->record->is_leaving ||
+            strcmp(member->record->dc, dc) != 0) {
+            continue;
         }
+        bool is_after_last =
+            last == NULL ||
+            members_rank_before(last->record, member->record, dc);
+        if (is_after_last &&
+            (best == NULL ||
+             members_rank_before(member->record, best->record, dc))) {
+            best = member;
+        }
+    }
+    return best;
+}
+
+static void
+choose_candidates(node_t *node)
+{
+    peer_plan_t *plan = node->peer_plan;
+    const member_t *last = NULL;
+    plan->candidate_count = 0;
+    plan->rank =
+        members_find_rank(&node->members, node->self, node->settings->dc);
+    while (plan->candidate_count < kFeedCandidates) {
+        last = find_next_candidate(node, last);
+        peer_t *peer =
+            last == NULL ? NULL : find_peer(node, last->record->name);
+        if (peer == NULL) {
+            return;
+        }
+        plan->candidates[plan->candidate_count++] = peer;
     }
+}
+
+/// @return whether a peer is among the owners of another data centre to which
+///         this node wants links. An owner to which connections fail gives its
+///         place to the next one, and is still tried.
+static bool
+is_chosen_remote_owner(const node_t *node, const peer_t *peer)
+{
+    uint32_t before_count = 0;
+    for (const peer_t *other = node->peers; other != NULL;
+         other = other->next) {
+        before_count +=
+            other->has_record && other->is_owner &&
+            (other->link_failures == 0 || peer->link_failures > 0) &&
+            other->affinity < peer->affinity &&
+            strcmp(other->dc, peer->dc) == 0;
+    }
+    return before_count < kRemoteOwnerLinks;
+}
+
+static bool
+is_link_wanted(const node_t *node, const peer_t *peer)
+{
+    const peer_plan_t *plan = node->peer_plan;
+    if (!peer->has_record) {
+        return false;
+    }
+    for (uint32_t i = 0; i < plan->candidate_count; i++) {
+        if (plan->candidates[i] == peer) {
+            return true;
+        }
+    }
+    return peer->is_owner &&
+           (peer->is_local || is_chosen_remote_owner(node, peer));
+}
+
+/// @return whether the nodes of a peer's data centre are reachable as far as
+///         the links to others of them tell
+static bool
+is_dc_reachable(const node_t *node, const peer_t *peer)
+{
+    bool has_failure = false;
+    for (const peer_t *other = node->peers; other != NULL;
+         other = other->next) {
+        if (strcmp(other->dc, peer->dc) == 0) {
+            if (other->is_up) {
+                return true;
+            }
+            has_failure |= other->link_failures > 0;
+        }
+    }
+    return !has_failure;
+}
+
+/// Updates which members count as reachable. A node without a link counts by
+/// the other nodes of its data centre.
+static void
+update_reachable(node_t *node)
+{
+    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
+        member_t *member =
+            peer->has_record ? members_find(&node->members, peer->name) : NULL;
+        if (member != NULL) {
+            member->is_reachable =
+                peer->is_up || (peer->link_failures == 0 &&
+                                (peer->is_wanted || peer->is_local ||
+                                 is_dc_reachable(node, peer)));
+        }
+    }
+}
+
+static void
+update_plan(node_t *node)
+{
+    if (!node->peer_plan->is_outdated || node->self == NULL) {
+        return;
+    }
+    node->peer_plan->is_outdated = false;
     remove_unused_peers(node);
-    node_schedule_advance(node);
+    choose_candidates(node);
+    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
+        peer->is_wanted = is_link_wanted(node, peer);
+        if (!peer->is_wanted && peer->has_record && peer->is_up &&
+            peer->order_count == 0) {
+            close_unwanted_link(peer);
+        }
+    }
+    update_reachable(node);
+    node_schedule_membership(node);
+}
+
+void
+peers_init(node_t *node)
+{
+    node->peer_plan = calloc(1, sizeof *node->peer_plan);
+}
+
+uint32_t
+peers_find_rank(const node_t *node)
+{
+    return node->peer_plan->rank;
+}
+
+uint32_t
+peers_list_candidates(const node_t *node,
+                      feed_candidate_t out[kFeedCandidates])
+{
+    const peer_plan_t *plan = node->peer_plan;
+    for (uint32_t i = 0; i < plan->candidate_count; i++) {
+        out[i] = (feed_candidate_t){.name = plan->candidates[i]->name,
+                                    .is_up = plan->candidates[i]->is_up};
+    }
+    return plan->candidate_count;
+}
+
+void
+peers_send_follow(const node_t *node, const char *name,
+                  const follow_message_t *follow)
+{
+    const peer_t *peer = find_peer(node, name);
+    if (peer != NULL && peer->is_up) {
+        conn_send(peer->conn, kMessageFollow, follow);
+    }
 }
 
 static void
@@ -278,17 +499,17 @@
 peers_advance(node_t *node, int64_t now_ns)
 {
     int64_t due_ns = INT64_MAX;
+    update_plan(node);
     for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
-        bool is_wanted = peer->has_record && peer->is_owner;
         int64_t peer_due_ns = INT64_MAX;
         if (peer->conn != NULL) {
             peer_due_ns = check_link(peer, now_ns);
         }
-        else if (is_wanted && peer->connect_due_ns <= now_ns) {
+        else if (peer->is_wanted && peer->connect_due_ns <= now_ns) {
             open_link(peer, now_ns);
             peer_due_ns = now_ns + (int64_t)kHelloTimeoutMs * kNsPerMs;
         }
-        else if (is_wanted) {
+        else if (peer->is_wanted) {
             peer_due_ns = peer->connect_due_ns;
         }
         due_ns = peer_due_ns < due_ns ? peer_due_ns : due_ns;
@@ -386,8 +607,7 @@
         int64_t free_mcores = is_fresh ? peer->free_mcores : INT64_MAX;
         int64_t peer_wait_ms =
             estimate_wait_ms(free_mcores, is_fresh ? peer->backlog_ms : 0,
-                             strcmp(peer->dc, node->settings->dc) == 0,
-                             needed) +
+                             peer->is_local, needed) +
             (peer->is_leaving ? kStoppingPenaltyMs : 0);
         if (peer_wait_ms < best_wait_ms) {
             best_wait_ms = peer_wait_ms;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -4,11 +4,37 @@
 #define JT_NODE_PEERS_H
 
 #include "node/coordinator.h"
+#include "ownership/feed.h"
 
-/// Updates the peers after a change of the list of members.
-void peers_update(node_t *node);
+/// Creates the empty list of peers.
+void peers_init(node_t *node);
 
-/// Connects to owners, sends pings, and closes links that have timed out.
+/// Creates or updates the peer of a member whose record has been read.
+void peers_put(node_t *node, member_t *member);
+
+/// The record of a node was deleted.
+void peers_remove(node_t *node, const char *name);
+
+/// The record of this node itself has changed.
+void peers_update_self(node_t *node);
+
+/// @return the rank of this node among those of its data centre; 0 is the
+///         largest share of a core
+uint32_t peers_find_rank(const node_t *node);
+
+/// Lists the nodes of this data centre that may pass on targets, by rank.
+///
+/// @return their number
+uint32_t peers_list_candidates(const node_t *node,
+                               feed_candidate_t out[kFeedCandidates]);
+
+/// Sends a request to follow a node, or to stop that, if there is a link to
+/// it.
+void peers_send_follow(const node_t *node, const char *name,
+                       const follow_message_t *follow);
+
+/// Connects to owners and to nodes that may be followed, sends pings, and
+/// closes links that have timed out.
 ///
 /// @return when to call it again
 int64_t peers_advance(node_t *node, int64_t now_ns);
--- a/src/node/record.c
+++ b/src/node/record.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "node/peers.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
@@ -35,6 +36,7 @@
     }
     node->self = members_put(&node->members, &record);
     node->self->is_self = true;
+    peers_update_self(node);
     if (node->listed_ns != 0) {
         node->adapter_ops->publish_record(node->adapter, &record);
     }
--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -13,6 +13,8 @@
     /// How long remote targets must have been reachable: after a network split
     /// ends, their local owners take up to 2 s to return.
     kStableReachableMs = 2500,
+    kPrepareMs = 4200,    ///< before a node of another data centre joins:
+                          ///< kStableReachableMs, a list and some probes
     kLeaveDelayMs = 5000, ///< from a surplus of owners until one leaves
     /// How long a new node waits for others that start at the same time; all
     /// machines start within 300 ms.
@@ -104,11 +106,9 @@
     return false;
 }
 
-/// @return whether `left` is preferred to `right` as an owner of the data
-///         centre's targets
-static bool
-ranks_before(const node_record_t *left, const node_record_t *right,
-             const char *dc)
+bool
+members_rank_before(const node_record_t *left, const node_record_t *right,
+                    const char *dc)
 {
     bool is_left_local = strcmp(left->dc, dc) == 0;
     bool is_right_local = strcmp(right->dc, dc) == 0;
@@ -129,7 +129,7 @@
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
         rank += member != self && !member->record->is_leaving &&
-                ranks_before(member->record, self->record, dc);
+                members_rank_before(member->record, self->record, dc);
     }
     return rank;
 }
@@ -161,7 +161,7 @@
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
         count += is_other_owner(member, dc) &&
-                 ranks_before(member->record, self->record, dc);
+                 members_rank_before(member->record, self->record, dc);
     }
     return count;
 }
@@ -187,6 +187,29 @@
                : candidate->listed_ns + MS_TO_NS(kStartupWaitMs);
 }
 
+/// @return how long a shortage lasts before a node that is not a preferred
+///         owner of its own data centre joins
+static int64_t
+join_delay_ns(const candidate_t *candidate)
+{
+    uint32_t excess_rank = candidate->rank < candidate->wanted_count
+                               ? 0
+                               : candidate->rank - candidate->wanted_count;
+    return MS_TO_NS(kPropagationMs + (int64_t)kRankDelayMs * excess_rank +
+                    (candidate->is_local ? 0 : kRemoteDelayMs));
+}
+
+int64_t
+candidate_prepare_ns(const candidate_t *candidate)
+{
+    if (candidate->is_local || candidate->is_owner ||
+        candidate->shortage_since_ns == 0) {
+        return INT64_MAX;
+    }
+    return candidate->shortage_since_ns + join_delay_ns(candidate) -
+           MS_TO_NS(kPrepareMs);
+}
+
 int64_t
 candidate_join_ns(const candidate_t *candidate, int64_t now_ns)
 {
@@ -198,10 +221,6 @@
     if (candidate->is_local && is_preferred) {
         return earliest_ns > now_ns ? earliest_ns : now_ns;
     }
-    int64_t wait_ms =
-        kPropagationMs +
-        (int64_t)kRankDelayMs *
-            (is_preferred ? 0 : candidate->rank - candidate->wanted_count);
     if (!candidate->is_local && candidate->reachable_since_ns == 0) {
         return INT64_MAX;
     }
@@ -209,9 +228,8 @@
         int64_t stable_ns =
             candidate->reachable_since_ns + MS_TO_NS(kStableReachableMs);
         earliest_ns = stable_ns > earliest_ns ? stable_ns : earliest_ns;
-        wait_ms += kRemoteDelayMs;
     }
-    int64_t join_ns = candidate->shortage_since_ns + MS_TO_NS(wait_ms);
+    int64_t join_ns = candidate->shortage_since_ns + join_delay_ns(candidate);
     return earliest_ns > join_ns ? earliest_ns : join_ns;
 }
 
--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -49,6 +49,11 @@
 uint32_t members_find_rank(const members_t *members, const member_t *self,
                            const char *dc);
 
+/// @return whether `left` is preferred to `right` as an owner of a data
+///         centre's targets
+bool members_rank_before(const node_record_t *left, const node_record_t *right,
+                         const char *dc);
+
 /// @return how many other reachable members own targets of a data centre
 uint32_t members_count_owners(const members_t *members, const char *dc);
 
@@ -85,6 +90,12 @@
 /// @return when this node should join, or INT64_MAX
 int64_t candidate_join_ns(const candidate_t *candidate, int64_t now_ns);
 
+/// Decides when to prepare to join the owners of another data centre: to read
+/// its targets and to check that they are reachable.
+///
+/// @return when this node should prepare, or INT64_MAX
+int64_t candidate_prepare_ns(const candidate_t *candidate);
+
 /// Decides when to leave the owners. When there are too many, the least
 /// preferred ones leave: never all of them, and never in favour of a node that
 /// is not an owner.
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -103,18 +103,24 @@
 }
 
 uint64_t
-fleet_count_owned_runners(const fleet_t *fleet, uint32_t node)
+fleet_read_metric(const fleet_t *fleet, uint32_t node, const char *name)
 {
-    static const char gauge[] = "jaytrestle_targets_open ";
     caller_request_t request = {.timeout_ms = kRequestTimeoutMs};
-    uint64_t owned = 0;
+    const char *line = apr_psprintf(fleet->pool, "\n%s ", name);
+    uint64_t value = 0;
     if (caller_send(&request, "GET", NULL, "http://%s:%d/metrics",
                     fleet->nodes[node].address, kMetricsPort) == 200) {
-        const char *at = strstr(request.reply, gauge);
-        owned = at == NULL ? 0 : strtoull(at + strlen(gauge), NULL, 10);
+        const char *at = strstr(request.reply, line);
+        value = at == NULL ? 0 : strtoull(at + strlen(line), NULL, 10);
     }
     caller_free_replies(&request, 1);
-    return owned;
+    return value;
+}
+
+uint64_t
+fleet_count_owned_runners(const fleet_t *fleet, uint32_t node)
+{
+    return fleet_read_metric(fleet, node, "jaytrestle_targets_open");
 }
 
 static bool
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -45,11 +45,15 @@
 /// Waits until a node reports that it is ready.
 void fleet_wait_ready(fleet_t *fleet, uint32_t node);
 
-/// @return number of open targets in the metrics of a node: the runners that
-/// it
-///         owns and that accept starts; 0 without a response
+/// @return how many runners a node owns that accept starts; 0 without a
+///         response
 uint64_t fleet_count_owned_runners(const fleet_t *fleet, uint32_t node);
 
+/// @return a number in the metrics of a node, such as
+///         "jaytrestle_store_calls"; 0 without a response
+uint64_t fleet_read_metric(const fleet_t *fleet, uint32_t node,
+                           const char *name);
+
 /// Waits until the running nodes together own all runners that accept starts.
 ///
 /// @param runner_count  number of runners that accept starts
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -189,7 +189,7 @@
 test_lost_reads_are_repeated_in_time(void)
 {
     enum { kDrainNoticeMs = 2000, kLatencyMs = 50 };
-    uint32_t age_ms = topics_read_delay_ms(true) + kLatencyMs;
+    uint32_t age_ms = topics_read_delay_ms(kTargetReadsFast) + kLatencyMs;
     for (uint32_t failures = 0; failures < 2; failures++) {
         age_ms +=
             store_timeout_ms(failures) + store_retry_delay_ms(failures + 1);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -58,6 +58,16 @@
     's/if (is_drained(dispatch)) {/if (true) {/'
 mutant leaving functional_test_stop src/route/target.c \
     's/atomic_store(&target->leaving_until_ns, now_ns + LEAVING_NS);/(void)now_ns;/'
+mutant silence-since-call functional_test_silence src/front/dispatcher_link.c \
+    's/return link->busy_since_ns > link->conn->last_received_ns/return false/'
+mutant accept-pause test_listener src/net/listener.c \
+    's/^                pause_accepting(listener, status);/                (void)status;/'
+mutant feed-age test_feed src/ownership/feed.c \
+    's/int64_t fresh_until_ns = now_ns - age_ns + /int64_t fresh_until_ns = now_ns + 0 * age_ns + /'
+mutant feed-reads test_feed src/ownership/feed.c \
+    's/decision.reads_store = now_ns < feed->read_until_ns;/decision.reads_store = false;/'
+mutant feed-removal functional_test_feed src/node/target_feed.c \
+    's/choose_update(node, follower) != kind/choose_update(node, follower) == kUpdateChanges || choose_update(node, follower) != kind/'
 mutant hello-silence functional_test_silence src/front/dispatcher_link.c \
     's/(link->is_ready \&\& link->sent_calls == NULL)/(link->sent_calls == NULL)/'
 mutant base-offset test_config_document src/config/config_document.c \
@@ -81,7 +91,7 @@
 mutant far-owner-waits test_ownership src/ownership/members.c \
     's/earliest_ns = stable_ns > earliest_ns ? stable_ns : earliest_ns;/earliest_ns += stable_ns * 0;/'
 mutant one-leaves test_ownership src/ownership/members.c \
-    's/               ranks_before(member->record, self->record, dc);/               self != NULL;/'
+    's/^                 members_rank_before(member->record, self->record, dc);/                 self != NULL;/'
 mutant pending-connections test_http_servers platform/http_servers.c \
     's/^        accept_pending(servers, listen_fd);//'
 mutant earlier-process functional_test_node src/node/record.c \
