pool: small tasks use what larger waiting ones leave

A new order with smaller tasks was refused because of those ahead of it, although it could start at once. Change: an order starts at once if more tasks of its size fit than tasks of its size or smaller wait.

--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -15,8 +15,9 @@
 
 /// What the wait of a new order depends on.
 typedef struct {
-    uint64_t free_count;  ///< tasks of its size that fit now
-    uint64_t ahead_count; ///< waiting tasks of equal or more urgent priority
+    uint64_t free_count;    ///< tasks of its size that fit now
+    uint64_t ahead_count;   ///< waiting tasks of equal or more urgent priority
+    uint64_t smaller_count; ///< of these, tasks that need no more CPU
     /// Expected remaining time of each run, ascending.
     int64_t *run_remaining_ns;
     uint32_t run_count;
@@ -49,6 +50,22 @@
     }
 }
 
+/// @return how many tasks of an order wait that need no more CPU than a size
+static uint64_t
+count_smaller_tasks(const pool_order_t *order, uint32_t cpu_mcores)
+{
+    uint64_t count = 0;
+    if (order->waiting_count == 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < order->task_count; i++) {
+        count +=
+            order->tasks[i].state == kTaskWaiting &&
+            order->spec->steps[order->tasks[i].step].cpu_mcores <= cpu_mcores;
+    }
+    return count;
+}
+
 static void
 read_load(const pool_t *pool, const order_t *order, const order_step_t *step,
           load_t *load, int64_t now_ns)
@@ -71,6 +88,7 @@
             break;
         }
         load->ahead_count += other->waiting_count;
+        load->smaller_count += count_smaller_tasks(other, step->cpu_mcores);
     }
 }
 
@@ -105,7 +123,7 @@
     read_load(pool, order, step, &load, now_ns);
     qsort(load.run_remaining_ns, load.run_count, sizeof *load.run_remaining_ns,
           compare_ns);
-    bool can_start = load.ahead_count < load.free_count;
+    bool can_start = load.smaller_count < load.free_count;
     int64_t wait_ns =
         can_start ? 0 : estimate_start_ns(&load, step->task_count);
     free(load.run_remaining_ns);
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -99,6 +99,24 @@
     sim_clear(&sim);
 }
 
+/// Under overload, tasks that wait are larger than what is left of the
+/// targets. An order with smaller tasks does not wait behind them: it can use
+/// that.
+static void
+test_small_tasks_use_gaps(void)
+{
+    create_sim();
+    sim_submit_equal(&sim, 0, "b1", kTaskCount, 100, 0);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(10));
+    order_step_t small = {.task_count = 1, .cpu_mcores = 4000};
+    order_t spec = {.steps = &small, .steps_count = 1};
+    pool_order_t order = {.spec = &spec};
+    CU_ASSERT_EQUAL(wait_estimate_ns(sim.pools[0], &order, sim.now_ns), 0);
+    small.cpu_mcores = 5000;
+    CU_ASSERT(wait_estimate_ns(sim.pools[0], &order, sim.now_ns) > 0);
+    sim_clear(&sim);
+}
+
 static void
 test_estimate_is_bounded(void)
 {
@@ -119,6 +137,7 @@
          test_correction_decays_without_waits},
         {"priorities have separate corrections",
          test_priorities_have_separate_corrections},
+        {"small tasks use gaps", test_small_tasks_use_gaps},
         {"the estimate is bounded", test_estimate_is_bounded},
         CU_TEST_INFO_NULL,
     };
