node: pools tell their room by the size of tasks

Cause: a coordinator chose an owner by the sum of free cores, which says nothing once they are spread over targets in small parts; an owner that had not answered for a second counted as empty, and among equals the first in the list was chosen: at calm load some pools had no room and others room for 47 tasks. Change: an owner tells how many tasks of each size it could start (settled and pong messages); the pool is drawn among the best in proportion to its room (src/pool/choice.c, no socket, no clock).

--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -74,12 +74,34 @@
     arena_destroy(arena);
 }
 
+/// Answers a ping with the load of the pool: a coordinator that sends few
+/// orders here would not learn of it otherwise.
+static void
+handle_ping(client_t *client, bytes_t body)
+{
+    ping_message_t ping;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &ping_message_desc, arena, &ping, &err)) {
+        pool_status_t status =
+            pool_read_status(client->node->pool, clock_now_ns());
+        pong_message_t pong = {.number = ping.number,
+                               .backlog_ms = status.backlog_ms,
+                               .room = status.room.fitting_counts,
+                               .room_count =
+                                   status.target_count > 0 ? kRoomClasses : 0};
+        conn_send(client->conn, kMessagePong, &pong);
+    }
+    arena_destroy(arena);
+}
+
 typedef void (*handler_t)(client_t *client, bytes_t body);
 
 static const handler_t handlers[kMessageCount] = {
     [kMessageAssign] = handle_assign,
     [kMessageWithdraw] = handle_withdraw,
     [kMessageFollow] = handle_follow,
+    [kMessagePing] = handle_ping,
 };
 
 static void
@@ -87,13 +109,14 @@
 {
     client_t *client = conn->owner;
     node_update_now_ns(client->node);
-    if (conn->is_closed ||
-        control_answer(&client->node->control, conn, type, body)) {
+    if (conn->is_closed) {
         return;
     }
     if (type < kMessageCount && handlers[type] != NULL) {
         handlers[type](client, body);
+        return;
     }
+    control_answer(&client->node->control, conn, type, body);
 }
 
 static void
@@ -158,7 +181,9 @@
                                  .retry_after_ms = settled->retry_after_ms,
                                  .dc = node->settings->dc,
                                  .free_mcores = status.free_mcores,
-                                 .backlog_ms = status.backlog_ms};
+                                 .backlog_ms = status.backlog_ms,
+                                 .room = status.room.fitting_counts,
+                                 .room_count = kRoomClasses};
     conn_send(client->conn, kMessageSettled, &message);
 }
 
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -20,13 +20,10 @@
     kHelloTimeoutMs = 250,
     kReconnectStepMs = 300, ///< added to the delay by each failure
     kReconnectLimitMs = 1000,
-    kMaxSilenceMs = 350,       ///< a link with unsettled orders gets no new
-                               ///< ones after this time without a message
-    kPoolStatusTtlMs = 1000,   ///< a pool's status is valid for this long
-    kFullPoolPenaltyMs = 40,   ///< for a pool too full for the whole job
-    kRemotePenaltyMs = 8,      ///< for a pool of another data centre
-    kStoppingPenaltyMs = 1000, ///< for a pool whose node is stopping: it takes
-                               ///< orders only while there is no other owner
+    kMaxSilenceMs = 350, ///< a link with unsettled orders gets no new
+                         ///< ones after this time without a message
+    kLoadTtlMs = 1200,   ///< a pool's load is valid for this long; a
+                         ///< pong brings it each second
     /// Links to owners of another data centre. With links to all of them,
     /// their number would grow with the square of the number of nodes.
     kRemoteOwnerLinks = 4
@@ -55,8 +52,9 @@
     int64_t connect_due_ns;
     int64_t ping_due_ns;
     uint64_t ping_number;
-    int64_t status_received_ns; ///< when the pool's status was last received
-    int64_t free_mcores;        ///< as received, minus what was assigned since
+    int64_t load_received_ns; ///< when the pool's load was last received; 0:
+                              ///< never
+    room_t room;              ///< as received, minus what was assigned since
     uint32_t backlog_ms;
 };
 
@@ -64,6 +62,7 @@
 /// the links whenever one of them changes.
 typedef struct peer_plan {
     bool is_outdated;
+    rng_t rng; ///< for the choice among pools
     uint32_t rank;                       ///< of this node in its data centre
     peer_t *candidates[kFeedCandidates]; ///< nodes that may be followed
     uint32_t candidate_count;
@@ -95,6 +94,30 @@
     invalidate_plan(peer->node);
 }
 
+static void
+record_load(peer_t *peer, uint32_t backlog_ms, const uint32_t *room,
+            uint32_t room_count)
+{
+    peer->load_received_ns = room_count > 0 ? clock_now_ns() : 0;
+    peer->backlog_ms = backlog_ms;
+    peer->room = (room_t){0};
+    for (uint32_t i = 0; i < room_count && i < kRoomClasses; i++) {
+        peer->room.fitting_counts[i] = room[i];
+    }
+}
+
+static void
+handle_pong(peer_t *peer, bytes_t body)
+{
+    pong_message_t pong;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &pong_message_desc, arena, &pong, &err)) {
+        record_load(peer, pong.backlog_ms, pong.room, pong.room_count);
+    }
+    arena_destroy(arena);
+}
+
 static void
 handle_settled(peer_t *peer, bytes_t body)
 {
@@ -111,9 +134,7 @@
     if (peer->order_count > 0) {
         peer->order_count--;
     }
-    peer->status_received_ns = clock_now_ns();
-    peer->free_mcores = (int64_t)message.free_mcores;
-    peer->backlog_ms = message.backlog_ms;
+    record_load(peer, message.backlog_ms, message.room, message.room_count);
     pool_order_result_t settled = {.request = message.request,
                                    .outcome = message.outcome,
                                    .kind = message.kind,
@@ -143,6 +164,7 @@
 
 static const handler_t handlers[kMessageCount] = {
     [kMessageHello] = handle_hello,
+    [kMessagePong] = handle_pong,
     [kMessageSettled] = handle_settled,
     [kMessageTargetsUpdate] = handle_targets_update,
 };
@@ -420,6 +442,7 @@
 peers_init(node_t *node)
 {
     node->peer_plan = calloc(1, sizeof *node->peer_plan);
+    node->peer_plan->rng.state = node->control.hello.nonce;
 }
 
 uint32_t
@@ -527,18 +550,21 @@
     }
 }
 
-/// @return the CPU that the tasks of a job need at its start
-static uint64_t
-needed_mcores(const caller_job_t *job)
+/// @return what the tasks of a job need that can start at once
+static job_need_t
+read_need(const caller_job_t *job)
 {
-    uint64_t needed = 0;
+    job_need_t need = {0};
     for (uint32_t i = 0; i < job->order.steps_count; i++) {
         const order_step_t *step = &job->order.steps[i];
         if (step->depends_on_count == 0) {
-            needed += (uint64_t)step->cpu_mcores * step->task_count;
+            need.task_count += step->task_count;
+            need.cpu_mcores = step->cpu_mcores > need.cpu_mcores
+                                  ? step->cpu_mcores
+                                  : need.cpu_mcores;
         }
     }
-    return needed;
+    return need;
 }
 
 static bool
@@ -552,16 +578,6 @@
     return false;
 }
 
-/// Estimates the wait of a job in a pool from the pool's backlog and a penalty
-/// for each disadvantage.
-static int64_t
-estimate_wait_ms(int64_t free_mcores, uint32_t backlog_ms, bool is_local,
-                 int64_t needed)
-{
-    return backlog_ms + (free_mcores < needed ? kFullPoolPenaltyMs : 0) +
-           (is_local ? 0 : kRemotePenaltyMs);
-}
-
 /// @return whether a peer may be assigned orders
 static bool
 is_usable(const peer_t *peer, int64_t now_ns)
@@ -587,35 +603,35 @@
 peers_choose(node_t *node, const caller_job_t *job, bool *is_self)
 {
     int64_t now_ns = clock_now_ns();
-    int64_t needed = (int64_t)needed_mcores(job);
-    int64_t best_wait_ms = INT64_MAX;
-    peer_t *best = NULL;
-    *is_self = false;
+    job_need_t need = read_need(job);
+    pool_choice_t choice = {.rng = &node->peer_plan->rng};
     if (owner_has_partitions(node) && !was_tried(job, node) &&
         !pool_is_closed(node->pool)) {
         pool_status_t status = pool_read_status(node->pool, now_ns);
-        best_wait_ms = estimate_wait_ms((int64_t)status.free_mcores,
-                                        status.backlog_ms, true, needed);
-        *is_self = true;
+        choice_add(&choice,
+                   &(pool_offer_t){.room = &status.room,
+                                   .backlog_ms = status.backlog_ms,
+                                   .is_self = true,
+                                   .is_local = true,
+                                   .pool = node},
+                   &need);
     }
     for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
         if (!is_usable(peer, now_ns) || was_tried(job, peer)) {
             continue;
         }
-        bool is_fresh = now_ns - peer->status_received_ns <
-                        (int64_t)kPoolStatusTtlMs * kNsPerMs;
-        int64_t free_mcores = is_fresh ? peer->free_mcores : INT64_MAX;
-        int64_t peer_wait_ms =
-            estimate_wait_ms(free_mcores, is_fresh ? peer->backlog_ms : 0,
-                             peer->is_local, needed) +
-            (peer->is_leaving ? kStoppingPenaltyMs : 0);
-        if (peer_wait_ms < best_wait_ms) {
-            best_wait_ms = peer_wait_ms;
-            best = peer;
-            *is_self = false;
-        }
+        bool is_fresh =
+            now_ns - peer->load_received_ns < (int64_t)kLoadTtlMs * kNsPerMs;
+        choice_add(&choice,
+                   &(pool_offer_t){.room = is_fresh ? &peer->room : NULL,
+                                   .backlog_ms = peer->backlog_ms,
+                                   .is_local = peer->is_local,
+                                   .is_stopping = peer->is_leaving,
+                                   .pool = peer},
+                   &need);
     }
-    return best;
+    *is_self = choice.best == node;
+    return *is_self ? NULL : choice.best;
 }
 
 void
@@ -629,7 +645,8 @@
         peer->conn->last_received_ns = now_ns;
     }
     peer->order_count++;
-    peer->free_mcores -= (int64_t)needed_mcores(job);
+    job_need_t need = read_need(job);
+    room_take(&peer->room, need.cpu_mcores, need.task_count);
     conn_send(peer->conn, kMessageAssign, &message);
     node_schedule_advance(peer->node);
 }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -267,13 +267,10 @@
             continue;
         }
         status.target_count++;
-        uint64_t used_mcores = 0;
-        for (const pool_run_t *run = target->runs; run != NULL;
-             run = run->next) {
-            used_mcores += run->cpu_mcores;
-        }
-        if (used_mcores < target->info.cpu_mcores) {
-            status.free_mcores += target->info.cpu_mcores - used_mcores;
+        resources_t available = place_read_free(target);
+        if (available.cpu_mcores > 0) {
+            status.free_mcores += (uint64_t)available.cpu_mcores;
+            room_add_target(&status.room, available.cpu_mcores);
         }
     }
     return status;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "generated/messages.h"
+#include "pool/choice.h"
 
 enum {
     kPoolNameBytes = 64,    ///< target, service or job name with its NUL
@@ -223,6 +224,7 @@
     uint32_t run_count;
     uint64_t free_mcores;
     uint32_t backlog_ms; ///< expected wait of a new task
+    room_t room;
 } pool_status_t;
 
 pool_status_t pool_read_status(const pool_t *pool, int64_t now_ns);
