node: strong nodes own the targets where they suffice

Cause: partitions are dealt evenly, so a node with 0.09 of a core got as many targets as one with 0.5. Change: nodes with less than half of the largest core share in a data centre do not own targets as long as the others have at most 40 each.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -204,13 +204,11 @@
 static candidate_t
 make_candidate(node_t *node, dc_group_t *group, int64_t now_ns)
 {
-    uint32_t local_count = members_count_in_dc(&node->members, group->dc);
-    uint32_t per_owner = node->settings->targets_per_owner;
-    uint32_t wanted = (group->target_count + per_owner / 2) / per_owner;
-    wanted = wanted < 1 ? 1 : wanted;
+    uint32_t wanted = members_decide_owner_count(
+        &node->members, group->dc, group->target_count,
+        node->settings->targets_per_owner);
     wanted =
         wanted > group->partitions.count ? group->partitions.count : wanted;
-    wanted = wanted > local_count && local_count > 0 ? local_count : wanted;
     candidate_t candidate = {
         .rank = members_find_rank(&node->members, node->self, group->dc),
         .wanted_count = wanted,
--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -13,9 +13,13 @@
     /// How long remote targets must have been reachable: after a network split
     /// ends, their local owners take up to 2 s to return.
     kStableReachableMs = 2500,
-    kPrepareMs = 4200,    ///< before a node of another data centre joins:
-                          ///< kStableReachableMs, a list and some probes
-    kLeaveDelayMs = 5000, ///< from a surplus of owners until one leaves
+    kStrongDivisor = 2,    ///< a strong node has this part of the largest core
+                           ///< share in its data centre
+    kMaxTargetsFactor = 2, ///< of targets_per_owner, for a strong node instead
+                           ///< of weaker owners beside it
+    kPrepareMs = 4200,     ///< before a node of another data centre joins:
+                           ///< kStableReachableMs, a list and some probes
+    kLeaveDelayMs = 5000,  ///< from a surplus of owners until one leaves
     /// How long a new node waits for others that start at the same time; all
     /// machines start within 300 ms.
     kStartupWaitMs = 500
@@ -166,18 +170,63 @@
     return count;
 }
 
+static bool
+is_available_in_dc(const member_t *member, const char *dc)
+{
+    return !member->record->is_leaving && strcmp(member->record->dc, dc) == 0;
+}
+
 uint32_t
 members_count_in_dc(const members_t *members, const char *dc)
 {
     uint32_t count = 0;
+    for (const member_t *member = members->first; member != NULL;
+         member = member->next) {
+        count += is_available_in_dc(member, dc);
+    }
+    return count;
+}
+
+/// @return how many nodes of a data centre have at least half of the core
+/// share
+///         of its strongest node
+static uint32_t
+count_strong(const members_t *members, const char *dc)
+{
+    uint32_t largest_milli = 0;
+    uint32_t count = 0;
+    for (const member_t *member = members->first; member != NULL;
+         member = member->next) {
+        if (is_available_in_dc(member, dc) &&
+            member->record->core_share_milli > largest_milli) {
+            largest_milli = member->record->core_share_milli;
+        }
+    }
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
         count +=
-            !member->record->is_leaving && strcmp(member->record->dc, dc) == 0;
+            is_available_in_dc(member, dc) &&
+            member->record->core_share_milli * kStrongDivisor >= largest_milli;
     }
     return count;
 }
 
+uint32_t
+members_decide_owner_count(const members_t *members, const char *dc,
+                           uint32_t target_count, uint32_t targets_per_owner)
+{
+    uint32_t available = members_count_in_dc(members, dc);
+    uint32_t wanted =
+        (target_count + targets_per_owner / 2) / targets_per_owner;
+    uint32_t most_targets = targets_per_owner * kMaxTargetsFactor;
+    uint32_t least = (target_count + most_targets - 1) / most_targets;
+    uint32_t strong = count_strong(members, dc);
+    uint32_t limit = strong > least ? strong : least;
+    wanted = wanted > limit && available > 0 ? limit : wanted;
+    wanted = wanted > available && available > 0 ? available : wanted;
+    return wanted < 1 ? 1 : wanted;
+}
+
 /// @return when a new node stops waiting for the others; 0 for a restarted one
 static int64_t
 startup_wait_end_ns(const candidate_t *candidate)
--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -64,6 +64,14 @@
 /// @return how many members are located in a data centre and not leaving
 uint32_t members_count_in_dc(const members_t *members, const char *dc);
 
+/// Decides how many owners the targets of a data centre need: one for each
+/// `targets_per_owner`, but no nodes with a small share of a core as long as
+/// the others have few enough targets each. A partition is as large for a weak
+/// node as for a strong one, and under load the weak one is late.
+uint32_t members_decide_owner_count(const members_t *members, const char *dc,
+                                    uint32_t target_count,
+                                    uint32_t targets_per_owner);
+
 /// What this node considers when it decides whether to own targets of a data
 /// centre.
 typedef struct {
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -1,6 +1,7 @@
 /// Partitions with their fencing tokens, and the choice of owners.
 #include <apr_general.h>
 
+#include "base/units.h"
 #include "ownership/members.h"
 #include "ownership/partitions.h"
 #include "support/suite.h"
@@ -235,6 +236,60 @@
               candidate_join_ns(&third, 200));
 }
 
+/// Two strong and four weak nodes: under a surge, a weak node is late with its
+/// part of the targets, so the strong ones own them while they can.
+static void
+test_strong_nodes_own(void)
+{
+    members_t members = {0};
+    const char *const names[] = {"a", "b", "c", "d", "e", "f"};
+    for (uint32_t i = 0; i < 6; i++) {
+        put_member(&members, names[i], "d1", i < 2 ? 500 - 200 * i : 90, NULL);
+    }
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 60, 20), 2);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 80, 20), 2);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 120, 20), 3);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 1000, 20), 6);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 10, 20), 1);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 0, 20), 1);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d2", 60, 20), 3);
+    remove_all(&members);
+}
+
+/// Equal nodes share the targets as before.
+static void
+test_equal_nodes_share(void)
+{
+    members_t members = {0};
+    put_member(&members, "a", "d1", 250, NULL);
+    put_member(&members, "b", "d1", 250, NULL);
+    put_member(&members, "c", "d1", 250, NULL);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 16, 20), 1);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 60, 20), 3);
+    remove_all(&members);
+}
+
+/// A node of another data centre prepares to join before it may join, and a
+/// long time before nodes of a later rank.
+static void
+test_remote_node_prepares(void)
+{
+    candidate_t remote = {
+        .rank = 1, .wanted_count = 1, .shortage_since_ns = MS_TO_NS(10000)};
+    int64_t first_ns = candidate_prepare_ns(&remote);
+    remote.reachable_since_ns = first_ns + MS_TO_NS(600);
+    CU_ASSERT(first_ns < MS_TO_NS(11000));
+    CU_ASSERT(candidate_join_ns(&remote, first_ns) >=
+              first_ns + MS_TO_NS(3000));
+    remote.rank = 20;
+    CU_ASSERT(candidate_prepare_ns(&remote) > first_ns + MS_TO_NS(8000));
+    remote.is_owner = true;
+    CU_ASSERT_EQUAL(candidate_prepare_ns(&remote), INT64_MAX);
+    remote.is_owner = false;
+    remote.is_local = true;
+    CU_ASSERT_EQUAL(candidate_prepare_ns(&remote), INT64_MAX);
+}
+
 static void
 test_needed_owner_stays(void)
 {
@@ -270,6 +325,9 @@
         {"a preferred node joins at once when owners are too few",
          test_preferred_node_joins_at_once},
         {"other nodes join in order of rank", test_other_nodes_join_by_rank},
+        {"strong nodes own", test_strong_nodes_own},
+        {"equal nodes share", test_equal_nodes_share},
+        {"a remote node prepares", test_remote_node_prepares},
         {"a needed owner stays", test_needed_owner_stays},
         CU_TEST_INFO_NULL,
     };
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -68,6 +68,14 @@
     's/decision.reads_store = now_ns < feed->read_until_ns;/decision.reads_store = false;/'
 mutant feed-removal functional_test_feed src/node/target_feed.c \
     's/choose_update(node, follower) != kind/choose_update(node, follower) == kUpdateChanges || choose_update(node, follower) != kind/'
+mutant gaps test_wait src/pool/wait.c \
+    's/load.smaller_count < load.free_count/load.ahead_count < load.free_count/'
+mutant room-by-size test_choice src/pool/choice.c \
+    's/(uint32_t)(free_mcores \/ ((int64_t)(i + 1) \* kRoomStepMcores))/(uint32_t)(free_mcores \/ kRoomStepMcores)/'
+mutant spread-by-room test_choice src/pool/choice.c \
+    's/% choice->weight < weight/% choice->weight < 0 * weight + (choice->best == NULL)/'
+mutant strong-nodes test_ownership src/ownership/members.c \
+    's/wanted = wanted > limit \&\& available > 0 ? limit : wanted;/(void)limit;/'
 mutant hello-silence functional_test_silence src/front/dispatcher_link.c \
     's/(link->is_ready \&\& link->sent_calls == NULL)/(link->sent_calls == NULL)/'
 mutant base-offset test_config_document src/config/config_document.c \
