--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 #include <urcu-bp.h>
 
 #include "base/counters.h"
+#include "base/units.h"
 #include "node/catalog.h"
 #include "node/clients.h"
 #include "node/coordinator.h"
@@ -58,12 +59,6 @@
     return now_ns;
 }
 
-static int64_t
-min_ns(int64_t left_ns, int64_t right_ns)
-{
-    return left_ns < right_ns ? left_ns : right_ns;
-}
-
 int64_t
 node_stop_limit_ns(const node_t *node)
 {
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -1,4 +1,4 @@
-#include "node/peers.h"
+#include "node/peer_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,57 +24,8 @@
                          ///< ones after this time without a message
     kLoadTtlMs = 1200,   ///< a pool's load is valid for this long; a
                          ///< pong brings it each second
-    /// Links to owners of another data centre. With links to all of them,
-    /// their number would grow with the square of the number of nodes.
-    kRemoteOwnerLinks = 4
 };
 
-struct peer {
-    peer_t *next;
-    node_t *node;
-    char name[256];
-    char address[46];
-    char dc[64];
-    uint16_t port;
-    uint64_t nonce; ///< identifies the process that wrote its record
-    conn_t *conn;   ///< NULL while there is none
-    bool is_up;     ///< its hello has been received
-    bool is_owner;
-    bool is_leaving;
-    bool has_record;        ///< is in the list of members
-    bool is_local;          ///< is in this node's data centre, or owns targets
-                            ///< of it
-    bool is_wanted;         ///< there should be a link
-    uint64_t affinity;      ///< owners of another data centre with the lowest
-                            ///< values get links; differs between nodes
-    uint32_t order_count;   ///< unsettled orders
-    uint32_t link_failures; ///< in a row
-    int64_t connect_due_ns;
-    int64_t ping_due_ns;
-    uint64_t ping_number;
-    int64_t load_received_ns; ///< when the pool's load was last received; 0:
-                              ///< never
-    room_t room;              ///< as received, minus what was assigned since
-    uint32_t backlog_ms;
-};
-
-/// Which links this node wants. Derived from the members and from the state of
-/// the links whenever one of them changes.
-typedef struct peer_plan {
-    bool is_outdated;
-    rng_t rng; ///< for the choice among pools
-    uint32_t rank;                       ///< of this node in its data centre
-    peer_t *candidates[kFeedCandidates]; ///< nodes that may be followed
-    uint32_t candidate_count;
-} peer_plan_t;
-
-static void
-invalidate_plan(node_t *node)
-{
-    node->peer_plan->is_outdated = true;
-    node_schedule_membership(node);
-}
-
 static void
 on_open(conn_t *conn)
 {
@@ -91,7 +42,7 @@
     peer->is_up = true;
     peer->link_failures = 0;
     log_event("peer_up", "peer=%s", peer->name);
-    invalidate_plan(peer->node);
+    peer_plan_invalidate(peer->node);
 }
 
 static void
@@ -197,22 +148,12 @@
         (int64_t)kNsPerMs *
             (wait_ms < kReconnectLimitMs ? wait_ms : kReconnectLimitMs);
     coordinator_mark_peer_jobs_lost(peer->node, peer);
-    invalidate_plan(peer->node);
+    peer_plan_invalidate(peer->node);
 }
 
 static const conn_ops_t conn_ops = {
     .on_open = on_open, .on_message = on_message, .on_close = on_close};
 
-static peer_t *
-find_peer(const node_t *node, const char *name)
-{
-    peer_t *peer = node->peers;
-    while (peer != NULL && strcmp(peer->name, name) != 0) {
-        peer = peer->next;
-    }
-    return peer;
-}
-
 static peer_t *
 create_peer(node_t *node, const char *name)
 {
@@ -231,7 +172,7 @@
 peers_put(node_t *node, member_t *member)
 {
     const node_record_t *record = member->record;
-    peer_t *peer = find_peer(node, record->name);
+    peer_t *peer = peer_find(node, record->name);
     if (peer == NULL) {
         peer = create_peer(node, record->name);
     }
@@ -257,217 +198,30 @@
         peer->link_failures = 0;
         peer->connect_due_ns = 0;
     }
-    invalidate_plan(node);
-}
-
-/// Closes the link of a peer that is not wanted and has no unsettled order.
-/// That does not count as a failure of the link.
-static void
-close_unwanted_link(peer_t *peer)
-{
-    conn_close(peer->conn);
-    peer->link_failures = 0;
-    peer->connect_due_ns = 0;
-}
-
-/// Removes peers that have neither a record nor an unsettled order: closes
-/// their link, and frees them once it is closed.
-static void
-remove_unused_peers(node_t *node)
-{
-    for (peer_t **at = &node->peers; *at != NULL;) {
-        peer_t *peer = *at;
-        bool is_unused = !peer->has_record && peer->order_count == 0;
-        if (is_unused && peer->conn != NULL) {
-            conn_close(peer->conn);
-        }
-        else if (is_unused) {
-            *at = peer->next;
-            loop_free_later(node->loop, peer, free);
-            continue;
-        }
-        at = &peer->next;
-    }
+    peer_plan_invalidate(node);
 }
 
 void
 peers_remove(node_t *node, const char *name)
 {
-    peer_t *peer = find_peer(node, name);
+    peer_t *peer = peer_find(node, name);
     if (peer != NULL) {
         peer->has_record = false;
     }
-    invalidate_plan(node);
+    peer_plan_invalidate(node);
 }
 
 void
 peers_update_self(node_t *node)
 {
-    invalidate_plan(node);
-}
-
-/// @return the local member that ranks next after `last`, or NULL
-static const member_t *
-find_next_candidate(const node_t *node, const member_t *last)
-{
-    const char *dc = node->settings->dc;
-    const member_t *best = NULL;
-    for (const member_t *member = node->members.first; member != NULL;
-         member = member->next) {
-        if (member->is_self || member->record->is_leaving ||
-            strcmp(member->record->dc, dc) != 0) {
-            continue;
-        }
-        bool is_after_last =
-            last == NULL ||
-            members_rank_before(last->record, member->record, dc);
-        if (is_after_last &&
-            (best == NULL ||
-             members_rank_before(member->record, best->record, dc))) {
-            best = member;
-        }
-    }
-    return best;
-}
-
-static void
-choose_candidates(node_t *node)
-{
-    peer_plan_t *plan = node->peer_plan;
-    const member_t *last = NULL;
-    plan->candidate_count = 0;
-    plan->rank =
-        members_find_rank(&node->members, node->self, node->settings->dc);
-    while (plan->candidate_count < kFeedCandidates) {
-        last = find_next_candidate(node, last);
-        peer_t *peer =
-            last == NULL ? NULL : find_peer(node, last->record->name);
-        if (peer == NULL) {
-            return;
-        }
-        plan->candidates[plan->candidate_count++] = peer;
-    }
-}
-
-/// @return whether a peer is among the owners of another data centre to which
-///         this node wants links. An owner to which connections fail gives its
-///         place to the next one, and is still tried.
-static bool
-is_chosen_remote_owner(const node_t *node, const peer_t *peer)
-{
-    uint32_t before_count = 0;
-    for (const peer_t *other = node->peers; other != NULL;
-         other = other->next) {
-        before_count +=
-            other->has_record && other->is_owner &&
-            (other->link_failures == 0 || peer->link_failures > 0) &&
-            other->affinity < peer->affinity &&
-            strcmp(other->dc, peer->dc) == 0;
-    }
-    return before_count < kRemoteOwnerLinks;
-}
-
-static bool
-is_link_wanted(const node_t *node, const peer_t *peer)
-{
-    const peer_plan_t *plan = node->peer_plan;
-    if (!peer->has_record) {
-        return false;
-    }
-    for (uint32_t i = 0; i < plan->candidate_count; i++) {
-        if (plan->candidates[i] == peer) {
-            return true;
-        }
-    }
-    return peer->is_owner &&
-           (peer->is_local || is_chosen_remote_owner(node, peer));
-}
-
-/// @return whether the nodes of a peer's data centre are reachable as far as
-///         the links to others of them tell
-static bool
-is_dc_reachable(const node_t *node, const peer_t *peer)
-{
-    bool has_failure = false;
-    for (const peer_t *other = node->peers; other != NULL;
-         other = other->next) {
-        if (strcmp(other->dc, peer->dc) == 0) {
-            if (other->is_up) {
-                return true;
-            }
-            has_failure |= other->link_failures > 0;
-        }
-    }
-    return !has_failure;
-}
-
-/// Updates which members count as reachable. A node without a link counts by
-/// the other nodes of its data centre.
-static void
-update_reachable(node_t *node)
-{
-    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
-        member_t *member =
-            peer->has_record ? members_find(&node->members, peer->name) : NULL;
-        if (member != NULL) {
-            member->is_reachable =
-                peer->is_up || (peer->link_failures == 0 &&
-                                (peer->is_wanted || peer->is_local ||
-                                 is_dc_reachable(node, peer)));
-        }
-    }
-}
-
-static void
-update_plan(node_t *node)
-{
-    if (!node->peer_plan->is_outdated || node->self == NULL) {
-        return;
-    }
-    node->peer_plan->is_outdated = false;
-    remove_unused_peers(node);
-    choose_candidates(node);
-    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
-        peer->is_wanted = is_link_wanted(node, peer);
-        if (!peer->is_wanted && peer->has_record && peer->is_up &&
-            peer->order_count == 0) {
-            close_unwanted_link(peer);
-        }
-    }
-    update_reachable(node);
-    node_schedule_membership(node);
-}
-
-void
-peers_init(node_t *node)
-{
-    node->peer_plan = calloc(1, sizeof *node->peer_plan);
-    node->peer_plan->rng.state = node->control.hello.nonce;
-}
-
-uint32_t
-peers_find_rank(const node_t *node)
-{
-    return node->peer_plan->rank;
-}
-
-uint32_t
-peers_list_candidates(const node_t *node,
-                      feed_candidate_t out[kFeedCandidates])
-{
-    const peer_plan_t *plan = node->peer_plan;
-    for (uint32_t i = 0; i < plan->candidate_count; i++) {
-        out[i] = (feed_candidate_t){.name = plan->candidates[i]->name,
-                                    .is_up = plan->candidates[i]->is_up};
-    }
-    return plan->candidate_count;
+    peer_plan_invalidate(node);
 }
 
 void
 peers_send_follow(const node_t *node, const char *name,
                   const follow_message_t *follow)
 {
-    const peer_t *peer = find_peer(node, name);
+    const peer_t *peer = peer_find(node, name);
     if (peer != NULL && peer->is_up) {
         conn_send(peer->conn, kMessageFollow, follow);
     }
@@ -522,7 +276,7 @@
 peers_advance(node_t *node, int64_t now_ns)
 {
     int64_t due_ns = INT64_MAX;
-    update_plan(node);
+    peer_plan_update(node);
     for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
         int64_t peer_due_ns = INT64_MAX;
         if (peer->conn != NULL) {
--- a/src/ownership/feed.c
+++ b/src/ownership/feed.c
@@ -48,12 +48,6 @@
     return feed->source[0] != '\0' && strcmp(feed->source, name) == 0;
 }
 
-static int64_t
-min_ns(int64_t left_ns, int64_t right_ns)
-{
-    return left_ns < right_ns ? left_ns : right_ns;
-}
-
 /// @return whether the followed node still passes on fresh state, or has just
 ///         been asked for it
 static bool
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -199,12 +199,6 @@
     pool->lossy_until_ns = now_ns + MS_TO_NS(kLossyMs);
 }
 
-static int64_t
-min_ns(int64_t left_ns, int64_t right_ns)
-{
-    return left_ns < right_ns ? left_ns : right_ns;
-}
-
 static int64_t
 advance_orders(pool_t *pool, int64_t now_ns)
 {
