net: a flood of connections leaves descriptors and memory for the work

Cause, found by test_descriptors (red on the code before, on each count): with 256 descriptors and 300 idle connections to the peer port, jt-node had none left for callers, the store and targets: its callers got no answer, and jobs of the other node that needed its targets failed. A server of libmicrohttpd that has no connection and gets no descriptor keeps its thread busy: jt-front used 6.3 s of processor time in 3 s, jt-node over 2%. Other holes, found by reading: replies that a peer does not read were queued without a limit; a peer that sends without a pause was read until it paused; a frame of 64 MB was accepted on VMs of 120 MB; an idle connection that is no node's stayed for good. A connection with two frames of the largest size unread is closed; two buffers are read a turn; frames between nodes are at most 8 MB; a client that sent nothing for 10 s is dropped. Mutants accepted-share, caller-share, unread-limit, read-turns. The mutant feed-removal names the file to which its line has moved.

--- a/src/front/http.c
+++ b/src/front/http.c
@@ -13,11 +13,15 @@
 #include "codec/json.h"
 #include "front/responses.h"
 #include "runtime/clock.h"
+#include "runtime/descriptors.h"
 #include "runtime/log.h"
 
 enum {
     kMaxIdsPerRequest = 1024,
     kMaxConnections = 20000,
+    /// Of the descriptors, for callers. A server of libmicrohttpd without a
+    /// free descriptor keeps its thread busy; one at its limit does not.
+    kDescriptorPercent = 70,
     kIdleTimeoutS = 60,
     kAnswerGraceMs = 2000, ///< time to wait for the answer after the deadline
     kStopPollUs = 20000
@@ -359,7 +363,8 @@
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
         MHD_OPTION_THREAD_POOL_SIZE,
         settings->http_threads > 1 ? settings->http_threads : 0u,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kMaxConnections,
+        MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)descriptors_share(kDescriptorPercent, kMaxConnections),
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, front, MHD_OPTION_END);
     if (front->daemon == NULL) {
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -3,6 +3,7 @@
 #include <apr_portable.h>
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,14 +11,23 @@
 #include "base/counters.h"
 #include "codec/pack.h"
 #include "runtime/clock.h"
+#include "runtime/descriptors.h"
+#include "runtime/log.h"
 
 enum {
     kHeaderBytes = 4,
     kInitialBufferBytes = 16 * 1024,
     kUserTimeoutMs = 10000, ///< for sent bytes that are not acknowledged
     kKeepaliveIdleS = 60,   ///< idle time before the kernel sends probes
+    kReadsPerWakeup = 2,    ///< of a buffer each, so that a peer that sends
+                            ///< without a pause does not hold up the others
+    kAcceptedDescriptorPercent = 25,
+    kMaxAccepted = 1024
 };
 
+/// Connections of this process that were accepted and are open.
+static _Atomic uint32_t accepted_count;
+
 static void
 reserve(uint8_t **buffer, uint32_t *capacity_bytes, uint32_t required_bytes)
 {
@@ -53,6 +63,9 @@
         return;
     }
     conn->is_closed = true;
+    if (conn->is_accepted) {
+        atomic_fetch_sub(&accepted_count, 1);
+    }
     loop_watch(conn->loop, &conn->watch, conn->socket, 0);
     apr_socket_close(conn->socket);
     conn->ops->on_close(conn);
@@ -68,6 +81,19 @@
                kReadyRead | (wants_write ? kReadyWrite : 0));
 }
 
+/// Moves the bytes that are not sent yet to the start of the buffer, once they
+/// are the smaller part of it.
+static void
+discard_sent_bytes(conn_t *conn)
+{
+    uint32_t unsent_bytes = conn->out_bytes - conn->out_sent_bytes;
+    if (conn->out_sent_bytes > 0 && unsent_bytes <= conn->out_sent_bytes) {
+        memmove(conn->out, conn->out + conn->out_sent_bytes, unsent_bytes);
+        conn->out_bytes = unsent_bytes;
+        conn->out_sent_bytes = 0;
+    }
+}
+
 void
 conn_flush(conn_t *conn)
 {
@@ -88,17 +114,27 @@
             return;
         }
     }
-    if (conn->out_sent_bytes == conn->out_bytes) {
-        conn->out_bytes = 0;
-        conn->out_sent_bytes = 0;
-    }
+    discard_sent_bytes(conn);
     update_interest(conn);
 }
 
 static void
 run_flush(loop_deferred_t *deferred)
 {
-    conn_flush(caa_container_of(deferred, conn_t, flush));
+    conn_t *conn = caa_container_of(deferred, conn_t, flush);
+    if (conn->is_overflowing && !conn->is_closed) {
+        log_event("link_overflow", "unread_bytes=%u",
+                  conn->out_bytes - conn->out_sent_bytes);
+        conn_close(conn);
+    }
+    conn_flush(conn);
+}
+
+static uint32_t
+frame_limit_bytes(const conn_t *conn)
+{
+    uint32_t limit_bytes = conn->ops->frame_limit_bytes;
+    return limit_bytes == 0 ? (uint32_t)kMaxFrameBytes : limit_bytes;
 }
 
 /// Passes every whole frame in the buffer to the owner.
@@ -110,7 +146,9 @@
         uint32_t length_bytes;
         memcpy(&length_bytes, conn->in + at, kHeaderBytes);
         length_bytes = ntohl(length_bytes);
-        if (length_bytes > kMaxFrameBytes) {
+        if (length_bytes > frame_limit_bytes(conn)) {
+            log_event("frame_too_large", "bytes=%u limit_bytes=%u",
+                      length_bytes, frame_limit_bytes(conn));
             conn_close(conn);
             return;
         }
@@ -129,10 +167,12 @@
     }
 }
 
+/// Reads what has been received, or a part of it; the socket stays readable
+/// then, and the loop calls again.
 static void
 read_socket(conn_t *conn)
 {
-    for (;;) {
+    for (uint32_t i = 0; i < kReadsPerWakeup; i++) {
         reserve(&conn->in, &conn->in_capacity_bytes,
                 conn->in_bytes + kInitialBufferBytes);
         apr_size_t free_bytes = conn->in_capacity_bytes - conn->in_bytes;
@@ -230,12 +270,21 @@
     return conn;
 }
 
+bool
+conn_may_accept(void)
+{
+    return atomic_load(&accepted_count) <
+           descriptors_share(kAcceptedDescriptorPercent, kMaxAccepted);
+}
+
 conn_t *
 conn_wrap_socket(loop_t *loop, apr_socket_t *socket, arena_t *arena,
                  const conn_ops_t *ops, void *owner)
 {
     conn_t *conn = create_conn(loop, socket, arena, ops, owner);
     conn->is_open = true;
+    conn->is_accepted = true;
+    atomic_fetch_add(&accepted_count, 1);
     update_interest(conn);
     return conn;
 }
@@ -297,10 +346,18 @@
 void
 conn_send_packed(conn_t *conn, bytes_t body)
 {
-    if (conn->is_closed) {
+    if (conn->is_closed || conn->is_overflowing) {
         return;
     }
     uint32_t frame_bytes = kHeaderBytes + body.size_bytes;
+    uint32_t unread_bytes = conn->out_bytes - conn->out_sent_bytes;
+    if (unread_bytes > frame_limit_bytes(conn) * kMaxUnreadFrames) {
+        // Callers still use the connection: it is closed when the loop's
+        // iteration ends.
+        conn->is_overflowing = true;
+        loop_defer(conn->loop, &conn->flush);
+        return;
+    }
     uint32_t length_bytes = htonl(body.size_bytes);
     reserve(&conn->out, &conn->out_capacity_bytes,
             conn->out_bytes + frame_bytes);
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -9,7 +9,13 @@
 #include "generated/messages.h"
 #include "net/loop.h"
 
-enum { kMaxFrameBytes = 64 * 1024 * 1024 };
+enum {
+    kMaxFrameBytes = 64 * 1024 * 1024,
+    /// Frames of the largest size that may wait for the other end to read. A
+    /// connection with more is closed, so that a peer that sends requests and
+    /// does not read the replies does not use up the memory.
+    kMaxUnreadFrames = 2
+};
 
 typedef struct conn conn_t;
 
@@ -22,6 +28,8 @@
     void (*on_message)(conn_t *conn, uint32_t type, bytes_t body);
     /// The connection is closed. The owner must drop its pointer to it.
     void (*on_close)(conn_t *conn);
+    /// Largest frame that is accepted; 0 stands for kMaxFrameBytes.
+    uint32_t frame_limit_bytes;
 } conn_ops_t;
 
 struct conn {
@@ -40,7 +48,9 @@
     uint32_t out_sent_bytes;
     uint32_t out_capacity_bytes;
     int64_t last_received_ns; ///< time when bytes were last received
+    bool is_accepted;
     bool is_open;
+    bool is_overflowing; ///< the other end has not read what was sent
     bool is_closed;
 };
 
@@ -52,12 +62,19 @@
                      uint16_t port, const conn_ops_t *ops, void *owner,
                      error_info_t *err);
 
+/// @return whether this process may accept one more connection. Connections
+///         from other processes hold a part of its file descriptors only: the
+///         rest is for those that it opens itself, and for callers.
+bool conn_may_accept(void);
+
 /// Makes a connection from an accepted socket. Takes ownership of the socket
 /// and of its arena.
 conn_t *conn_wrap_socket(loop_t *loop, apr_socket_t *socket, arena_t *arena,
                          const conn_ops_t *ops, void *owner);
 
-/// Queues a message; it is sent at the end of the loop's iteration.
+/// Queues a message; it is sent at the end of the loop's iteration. If the
+/// other end does not read what was sent before, the connection is closed
+/// then.
 void conn_send(conn_t *conn, uint32_t type, const void *message);
 
 /// Queues a message that is already encoded.
--- a/src/net/listener.c
+++ b/src/net/listener.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/counters.h"
+#include "net/conn.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
@@ -68,6 +69,12 @@
             log_event("accept_resumed", "pause_ms=%d", kAcceptPauseMs);
             listener->is_failing = false;
         }
+        if (!conn_may_accept()) {
+            counter_add(kCounterLinksRefused, 1);
+            apr_socket_close(socket);
+            arena_destroy(arena);
+            continue;
+        }
         listener->on_accept(listener->owner, socket, arena);
     }
 }
--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -2,12 +2,20 @@
 
 #include <stdlib.h>
 
+#include "base/units.h"
 #include "codec/pack.h"
 #include "node/coordinator.h"
 #include "node/target_feed.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 
+enum {
+    /// A client without orders that has sent nothing for this long is dropped.
+    /// Nodes send a ping each second. Frees the descriptors of connections
+    /// that went silent, or that never were a node's.
+    kIdleTimeoutMs = 10000
+};
+
 struct client {
     client_t *next;
     client_t *prev;
@@ -144,7 +152,8 @@
 }
 
 static const conn_ops_t conn_ops = {.on_message = on_message,
-                                    .on_close = on_close};
+                                    .on_close = on_close,
+                                    .frame_limit_bytes = kNodeFrameLimitBytes};
 
 void
 clients_accept(void *owner, apr_socket_t *socket, arena_t *arena)
@@ -195,10 +204,9 @@
     client_t *next;
     for (client_t *client = node->clients; client != NULL; client = next) {
         next = client->next;
-        if (client->order_count == 0) {
-            continue;
-        }
-        int64_t deadline_ns = client->conn->last_received_ns + timeout_ns;
+        int64_t deadline_ns =
+            client->conn->last_received_ns +
+            (client->order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs));
         if (deadline_ns <= now_ns) {
             log_event("guest_silent", "guest=%llu orders=%u",
                       (unsigned long long)client->number, client->order_count);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,7 +19,12 @@
 #include "pool/pool.h"
 #include "runtime/control.h"
 
-enum { kMemberIdBytes = 320 };
+enum {
+    kMemberIdBytes = 320,
+    /// Of the links between nodes. The largest frames are lists of the targets
+    /// of a data centre: 3,000 targets are 1 MB.
+    kNodeFrameLimitBytes = 8 * 1024 * 1024
+};
 
 typedef struct node node_t;
 typedef struct peer peer_t;
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -151,8 +151,10 @@
     peer_plan_invalidate(peer->node);
 }
 
-static const conn_ops_t conn_ops = {
-    .on_open = on_open, .on_message = on_message, .on_close = on_close};
+static const conn_ops_t conn_ops = {.on_open = on_open,
+                                    .on_message = on_message,
+                                    .on_close = on_close,
+                                    .frame_limit_bytes = kNodeFrameLimitBytes};
 
 static peer_t *
 create_peer(node_t *node, const char *name)
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -62,11 +62,19 @@
     's/return link->busy_since_ns > link->conn->last_received_ns/return false/'
 mutant accept-pause test_listener src/net/listener.c \
     's/^                pause_accepting(listener, status);/                (void)status;/'
+mutant accepted-share functional_test_descriptors src/net/listener.c \
+    's/if (!conn_may_accept()) {/if (false) {/'
+mutant caller-share functional_test_descriptors src/front/http.c \
+    's/descriptors_share(kDescriptorPercent, kMaxConnections)/kMaxConnections/'
+mutant unread-limit test_conn src/net/conn.c \
+    's/if (unread_bytes > frame_limit_bytes(conn)/if (false \&\& unread_bytes > frame_limit_bytes(conn)/'
+mutant read-turns test_conn src/net/conn.c \
+    's/kReadsPerWakeup = 2,/kReadsPerWakeup = 2000000,/'
 mutant feed-age test_feed src/ownership/feed.c \
     's/int64_t fresh_until_ns = now_ns - age_ns + /int64_t fresh_until_ns = now_ns + 0 * age_ns + /'
 mutant feed-reads test_feed src/ownership/feed.c \
     's/decision.reads_store = now_ns < feed->read_until_ns;/decision.reads_store = false;/'
-mutant feed-removal functional_test_feed src/node/target_feed.c \
+mutant feed-removal functional_test_feed src/node/target_feed_send.c \
     's/choose_update(node, follower) != kind/choose_update(node, follower) == kUpdateChanges || choose_update(node, follower) != kind/'
 mutant gaps test_wait src/pool/wait.c \
     's/load.smaller_count < load.free_count/load.ahead_count < load.free_count/'
