pool: in a surge, begun orders are finished and late ones refused

Orders that could no longer meet their objective waited for three times that. Ruled out: room in other pools. At 2,600 refusals, no task fitted in any of the four pools that were asked but for 146 of 10,203 answers; 9% of the cores were free, in parts smaller than a task. Change (src/pool/urgency.c, no socket, no clock): free resources go to begun orders whose answer is still of use, then to those that can meet their objective, then to the rest. While others in time have waited for 100 ms, an order that has not started is refused as soon as it cannot meet its objective; otherwise when it could no longer complete within three times that.

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -6,9 +6,6 @@
 #include "pool/state.h"
 
 enum {
-    /// Multiple of the objective after which an order that has not started is
-    /// refused: a later answer has no value for the caller.
-    kGiveUpFactor = 3,
     /// Part of the objective within which a new order must be expected to
     /// complete.
     kAdmitObjectivePercent = 85,
@@ -348,11 +345,10 @@
                      kErrorKindDeadline, kMinRetryAfterMs, now_ns);
         return INT64_MAX;
     }
-    int64_t give_up_ns =
-        order->received_ns + order->objective_ns * kGiveUpFactor;
     if (order->is_started) {
         return order->deadline_ns;
     }
+    int64_t give_up_ns = urgency_give_up_ns(order, pool->contended_since_ns);
     if (give_up_ns <= now_ns) {
         order_settle(
             pool, order, kOrderOutcomeRefused, kErrorKindOverload,
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -201,29 +201,15 @@
     }
 }
 
-/// @return whether an order can no longer meet its objective
-static bool
-will_miss_objective(const pool_order_t *order, int64_t now_ns)
-{
-    int64_t work_ns = 0;
-    for (uint32_t i = 0; i < order->spec->steps_count; i++) {
-        int64_t step_ns = MS_TO_NS(order->spec->steps[i].estimate_ms);
-        work_ns = order->step_remaining[i] > 0 && step_ns > work_ns ? step_ns
-                                                                    : work_ns;
-    }
-    return now_ns + work_ns > order->received_ns + order->objective_ns;
-}
-
-/// Starts tasks of the orders that will miss their objective, or of those that
-/// can still meet it.
+/// Starts tasks of the orders of one urgency.
 static void
-place_orders(pool_t *pool, bool will_miss, uint32_t *blocked_mcores,
+place_orders(pool_t *pool, urgency_t urgency, uint32_t *blocked_mcores,
              int64_t now_ns)
 {
     for (pool_order_t *order = pool->first_order; order != NULL;
          order = order->next) {
         if (order->waiting_count > 0 &&
-            will_miss_objective(order, now_ns) == will_miss) {
+            urgency_read(order, now_ns) == urgency) {
             place_order(pool, order, blocked_mcores, now_ns);
         }
     }
@@ -233,8 +219,9 @@
 place_waiting_tasks(pool_t *pool, int64_t now_ns)
 {
     uint32_t blocked_mcores = UINT32_MAX;
-    place_orders(pool, false, &blocked_mcores, now_ns);
-    place_orders(pool, true, &blocked_mcores, now_ns);
+    for (urgency_t urgency = 0; urgency < kUrgencyCount; urgency++) {
+        place_orders(pool, urgency, &blocked_mcores, now_ns);
+    }
 }
 
 bool
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -242,9 +242,11 @@
 int64_t
 pool_advance(pool_t *pool, int64_t now_ns)
 {
+    urgency_update_contention(pool, now_ns);
     int64_t due_ns = advance_orders(pool, now_ns);
     advance_targets(pool, now_ns);
     place_waiting_tasks(pool, now_ns);
+    urgency_update_contention(pool, now_ns);
     due_ns = min_ns(due_ns, advance_targets(pool, now_ns));
     return min_ns(due_ns, next_placement_ns(pool, now_ns));
 }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -152,6 +152,9 @@
     int64_t round_trip_ns;  ///< smoothed time from a start call to its reply
     int64_t lossy_until_ns; ///< calls are assumed to be lost until then
     bool is_closed;
+    /// Since when orders that can meet their objective have waited for
+    /// resources without a break; 0 while none does.
+    int64_t contended_since_ns;
 };
 
 // pool.c
@@ -215,6 +218,40 @@
 void order_requeue_task(pool_task_t *task);
 int64_t order_advance(pool_t *pool, pool_order_t *order, int64_t now_ns);
 
+// urgency.c
+
+/// In which order the waiting tasks of orders get free resources.
+typedef enum {
+    /// Has started tasks, and its answer is still of use. In a surge, such an
+    /// order would otherwise wait behind all new ones until its caller leaves,
+    /// and the work done for it would be lost.
+    kUrgencyBegun,
+    kUrgencyInTime, ///< can still meet its objective
+    kUrgencyLate,
+    kUrgencyCount
+} urgency_t;
+
+urgency_t urgency_read(const pool_order_t *order, int64_t now_ns);
+
+/// @param objective_count  in how many times its objective the order should
+///                         complete
+/// @return the latest time to start its remaining steps for that
+int64_t urgency_latest_start_ns(const pool_order_t *order,
+                                int64_t objective_count);
+
+/// Updates contended_since_ns.
+void urgency_update_contention(pool_t *pool, int64_t now_ns);
+
+/// In a surge, orders that can meet their objective always wait, and one that
+/// cannot would be last in line until its caller leaves: the caller is told at
+/// once.
+///
+/// @param contended_since_ns  since when others that can meet their objective
+///                            have waited; 0 if none does
+/// @return when an order that has not started is refused
+int64_t urgency_give_up_ns(const pool_order_t *order,
+                           int64_t contended_since_ns);
+
 // place.c
 
 void place_waiting_tasks(pool_t *pool, int64_t now_ns);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -78,6 +78,10 @@
     's/choose_update(node, follower) != kind/choose_update(node, follower) == kUpdateChanges || choose_update(node, follower) != kind/'
 mutant gaps test_wait src/pool/wait.c \
     's/load.smaller_count < load.free_count/load.ahead_count < load.free_count/'
+mutant begun-first test_urgency src/pool/urgency.c \
+    's/return kUrgencyBegun;/return kUrgencyLate;/'
+mutant surge-refusal test_urgency src/pool/urgency.c \
+    's/if (contended_since_ns == 0) {/if (true) {/'
 mutant room-by-size test_choice src/pool/choice.c \
     's/(uint32_t)(free_mcores \/ ((int64_t)(i + 1) \* kRoomStepMcores))/(uint32_t)(free_mcores \/ kRoomStepMcores)/'
 mutant spread-by-room test_choice src/pool/choice.c \
@@ -114,8 +118,8 @@
     's/^        leave_earlier_groups(node, record);//'
 mutant record-repair functional_test_node src/node/record.c \
     's/if (node->republish_due_ns <= now_ns) {/if (false) {/'
-mutant missed-objective-goes-last test_pool src/pool/place.c \
-    's/will_miss_objective(order, now_ns) == will_miss) {/!will_miss) {/'
+mutant missed-objective-goes-last test_pool src/pool/urgency.c \
+    's/: kUrgencyLate;/: kUrgencyInTime;/'
 mutant best-method test_forecast src/pool/forecast.c \
     's/return from_log2_milli(methods\[best\](/return from_log2_milli(methods[kForecastDeclared](/'
 mutant queues-apart test_forecast src/pool/forecast.c \
