pool: waits in vain count for the estimates of waits

Cause: in a surge half of the refusals came only after the order had waited for all the time that it could (3,000 of 6,000 refusals took over 90 ms). Waits were learned from orders that started, never from those that were given up, so that the estimates were too short. Change: an order that is given up records its wait.

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -335,6 +335,18 @@
     }
 }
 
+/// Refuses an order that has waited in vain. Its wait counts for the estimates
+/// like those that ended with a start: estimates from the others alone are too
+/// short in a surge, and orders are accepted only to be refused later.
+static void
+give_up(pool_t *pool, pool_order_t *order, int64_t now_ns)
+{
+    wait_record_actual(pool, order, now_ns);
+    order_settle(pool, order, kOrderOutcomeRefused, kErrorKindOverload,
+                 retry_after_ms(wait_backlog_ms(pool, order->spec->priority)),
+                 now_ns);
+}
+
 int64_t
 order_advance(pool_t *pool, pool_order_t *order, int64_t now_ns)
 {
@@ -350,11 +362,8 @@
     }
     int64_t give_up_ns = urgency_give_up_ns(order, pool->contended_since_ns);
     if (give_up_ns <= now_ns) {
-        order_settle(
-            pool, order, kOrderOutcomeRefused, kErrorKindOverload,
-            retry_after_ms(wait_backlog_ms(pool, order->spec->priority)),
-            now_ns);
+        give_up(pool, order, now_ns);
         return INT64_MAX;
     }
-    return give_up_ns < order->deadline_ns ? give_up_ns : order->deadline_ns;
+    return min_ns(give_up_ns, order->deadline_ns);
 }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -270,7 +270,7 @@
 /// @return the expected wait of a new order until its last task starts
 int64_t wait_estimate_ns(pool_t *pool, pool_order_t *order, int64_t now_ns);
 /// Updates the correction of estimated waits with the actual wait of an order,
-/// when its last task starts.
+/// when its last task starts or the order is given up.
 void wait_record_actual(pool_t *pool, pool_order_t *order, int64_t now_ns);
 /// @return the time that all targets together need for the waiting tasks of
 ///         this and more urgent priorities
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -70,6 +70,32 @@
     sim_clear(&sim);
 }
 
+static int64_t
+work_2s(sim_t *simulation, const run_name_t *name)
+{
+    (void)simulation;
+    (void)name;
+    return MS_TO_NS(2000);
+}
+
+/// An order that is given up has waited longer than estimated, although it
+/// never started.
+static void
+test_given_up_order_raises_estimate(void)
+{
+    sim_init(&sim, 1, 1);
+    sim.work_ns = work_2s; // the orders declare 100 ms
+    sim_assign_targets(&sim, 0, 5);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(50));
+    sim_submit_equal(&sim, 0, "a1", kTaskCount, 100, 0);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(20));
+    sim_submit_equal(&sim, 0, "b1", kTaskCount, 100, 1);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(1000));
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeRefused], 1);
+    CU_ASSERT(sim.pools[0]->wait_correction_permille[1] > 1000);
+    sim_clear(&sim);
+}
+
 static void
 test_correction_decays_without_waits(void)
 {
@@ -133,6 +159,8 @@
     const CU_TestInfo tests[] = {
         {"the first wait is uncorrected", test_first_wait_is_uncorrected},
         {"longer waits raise the estimate", test_longer_waits_raise_estimate},
+        {"an order that is given up raises the estimate",
+         test_given_up_order_raises_estimate},
         {"the correction decays without waits",
          test_correction_decays_without_waits},
         {"priorities have separate corrections",
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -80,6 +80,8 @@
     's/load.smaller_count < load.free_count/load.ahead_count < load.free_count/'
 mutant begun-first test_urgency src/pool/urgency.c \
     's/return kUrgencyBegun;/return kUrgencyLate;/'
+mutant wait-in-vain test_wait src/pool/orders.c \
+    's/^    wait_record_actual(pool, order, now_ns);//'
 mutant surge-refusal test_urgency src/pool/urgency.c \
     's/if (contended_since_ns == 0) {/if (true) {/'
 mutant room-by-size test_choice src/pool/choice.c \
