httpd: jt-front serves the connections that wait when it stops

Change: both use src/httpd/stop.c. jt-front also waits up to 300 ms for requests that are still being read. test_httpd_stop forces connections during the stop.

--- a/src/front/http.c
+++ b/src/front/http.c
@@ -12,6 +12,7 @@
 #include "base/counters.h"
 #include "codec/json.h"
 #include "front/responses.h"
+#include "httpd/stop.h"
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
 #include "runtime/log.h"
@@ -24,7 +25,8 @@
     kDescriptorPercent = 70,
     kIdleTimeoutS = 60,
     kAnswerGraceMs = 2000, ///< time to wait for the answer after the deadline
-    kStopPollUs = 20000
+    kStopPollUs = 20000,
+    kDrainTimeoutMs = 300 ///< for requests that are still being read
 };
 
 /// One HTTP request of a caller and its response.
@@ -393,10 +395,7 @@
     while (!is_quiet(front) && clock_now_ns() < limit_ns) {
         apr_sleep(kStopPollUs);
     }
-    MHD_socket listening = MHD_quiesce_daemon(front->daemon);
-    if (listening != MHD_INVALID_SOCKET) {
-        close(listening);
-    }
+    httpd_stop_accepting(front->daemon, clock_deadline_ns(kDrainTimeoutMs));
     while (atomic_load(&front->active_count) > 0 &&
            clock_now_ns() < limit_ns) {
         apr_sleep(kStopPollUs);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -62,6 +62,8 @@
     's/return link->busy_since_ns > link->conn->last_received_ns/return false/'
 mutant accept-pause test_listener src/net/listener.c \
     's/^                pause_accepting(listener, status);/                (void)status;/'
+mutant job-deadline functional_test_pause src/dispatch/jobs.c \
+    's/^    loop_timer_set(shard->loop, &record->deadline, record->job.deadline_ns);/    (void)shard;/'
 mutant accepted-share functional_test_descriptors src/net/listener.c \
     's/if (!conn_may_accept()) {/if (false) {/'
 mutant caller-share functional_test_descriptors src/front/http.c \
@@ -114,8 +116,8 @@
     's/earliest_ns = stable_ns > earliest_ns ? stable_ns : earliest_ns;/earliest_ns += stable_ns * 0;/'
 mutant one-leaves test_ownership src/ownership/members.c \
     's/^                 members_rank_before(member->record, self->record, dc);/                 self != NULL;/'
-mutant pending-connections test_http_servers platform/http_servers.c \
-    's/^        accept_pending(servers, listen_fd);//'
+mutant pending-connections test_http_servers src/httpd/stop.c \
+    's/^        serve_pending(daemon, listen_fd);//'
 mutant earlier-process functional_test_node src/node/record.c \
     's/^        leave_earlier_groups(node, record);//'
 mutant record-repair functional_test_node src/node/record.c \
