--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -9,7 +9,8 @@
 # The tests end processes by signals, so leaks at exit are not checked.
 ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1 \
     ctest --test-dir "$build-asan" --output-on-failure \
-    -E "functional/test_schedule|soak" >"$build-asan/ctest.log" 2>&1 || {
+    -E "functional/test_schedule|soak" >"$build-asan/ctest.log" 2>&1 || true
+tools/check-ctest.sh "$build-asan/ctest.log" || {
     grep -vE '^ *$' "$build-asan/ctest.log" | tail -60
     exit 1
 }
