--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -45,6 +45,7 @@
 };
 
 static int64_t start_ms;
+static pid_t own_pid;
 static FILE *record_file;
 static char folder[64];
 static uint32_t network; ///< second byte of all loopback addresses
@@ -1377,6 +1378,9 @@
 on_interrupt(int number)
 {
     (void)number;
+    if (getpid() != own_pid) {
+        _exit(kKitExitNotRun); // a node that has not been started yet
+    }
     for (uint32_t i = 0; i < kKitMaxNodes; i++) {
         if (nodes[i].pid != 0) {
             kill(nodes[i].pid, SIGKILL);
@@ -1391,6 +1395,7 @@
     pthread_condattr_t attributes;
     plan = *wanted;
     start_ms = clock_ms();
+    own_pid = getpid();
     signal(SIGPIPE, SIG_IGN);
     signal(SIGTERM, on_interrupt);
     signal(SIGINT, on_interrupt);
