--- a/review/1/case.c
+++ b/review/1/case.c
@@ -24,7 +24,7 @@
         &(kit_work_t){
             .steps = 1, .tasks = 4, .task_ms = kTaskMs, .task_mcores = 14000});
     kit_start(
-        &(kit_plan_t){.zones = 2, .nodes_per_zone = 2, .runners_per_zone = 4});
+        &(kit_plan_t){.zones = 3, .nodes_per_zone = 1, .runners_per_zone = 4});
     int32_t frozen = kit_find_node(1, true);
     int32_t other = kit_find_node(2, true);
     if (frozen < 0 || other < 0) {
