--- a/review/kit/kit.c
+++ b/review/kit/kit.c
@@ -1006,7 +1006,7 @@
             (long long)runner_clock_ms(runner),
             (unsigned long long)runner->born_ms);
     for (uint32_t i = 0; i < runner->run_count; i++) {
-        fprintf(out, "%s[\"%s\",%u,\"\",100]", i == 0 ? "" : ",",
+        fprintf(out, "%s[\"%s\",%u,\"\",100,0]", i == 0 ? "" : ",",
                 runner->runs[i].task, runner->runs[i].run);
     }
     fprintf(out, "],\"ended_runs\":[");
