node: log what is known after a pause, and requests that are read late

Hypotheses, before any change of logic:

The node acts on what has expired: its membership, or its sessions.

No log line told them apart. The age comes from the kernel (TCP_INFO) or from the gap between beats of the loop, whichever is longer. The detection of pauses moves into a module, as the threads that read requests need it, too. No decision changes.

--- /dev/null
+++ b/src/httpd/arrival.c
@@ -0,0 +1,46 @@
+#include "httpd/arrival.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stddef.h>
+#include <sys/socket.h>
+
+#include "base/units.h"
+
+/// @return how long ago the kernel received the last data on a connection; 0
+///         if it does not say
+static int64_t
+read_data_age_ns(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct tcp_info tcp = {0};
+    socklen_t size_bytes = sizeof tcp;
+    if (info == NULL || getsockopt(info->connect_fd, IPPROTO_TCP, TCP_INFO,
+                                   &tcp, &size_bytes) != 0) {
+        return 0;
+    }
+    return MS_TO_NS(tcp.tcpi_last_data_recv);
+}
+
+int64_t
+httpd_read_arrival_ns(struct MHD_Connection *connection, const pause_t *pause,
+                      int64_t now_ns)
+{
+    int64_t arrival_ns = now_ns - read_data_age_ns(connection);
+    // The kernel's figure does not include time in which the machine was
+    // suspended.
+    return pause == NULL
+               ? arrival_ns
+               : min_ns(arrival_ns, pause_earliest_arrival_ns(pause, now_ns));
+}
+
+bool
+httpd_is_disconnected(int32_t fd)
+{
+    char byte;
+    ssize_t size_bytes = recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return size_bytes == 0 || (size_bytes < 0 && errno != EAGAIN &&
+                               errno != EWOULDBLOCK && errno != EINTR);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,7 +21,6 @@
 #include "runtime/log.h"
 
 enum {
-    kTickMs = 100, ///< between updates of the clock, gauges and readiness
     /// Minimum time for which a stopping node serves requests: until two
     /// of the load balancer's checks, one a second, have failed.
     kMinStopMs = 2500,
@@ -30,8 +29,7 @@
     /// A stopping node refuses orders for this long before its latest end.
     /// Most orders take less time.
     kOrderMarginMs = 2000,
-    kReplyFlushMs = 100,    ///< to send the last answers
-    kPauseThresholdMs = 450 ///< a longer gap between clock updates is a pause
+    kReplyFlushMs = 100 ///< to send the last answers
 };
 
 /// Drops all jobs and orders and closes all links: after a pause, the other
@@ -39,7 +37,9 @@
 static void
 handle_pause(node_t *node, int64_t gap_ns, int64_t now_ns)
 {
-    log_event("paused", "gap_ms=%lld", (long long)(gap_ns / kNsPerMs));
+    log_event("paused", "gap_ms=%lld jobs=%u", (long long)(gap_ns / kNsPerMs),
+              atomic_load(&node->job_count));
+    owner_log_memberships(node, now_ns);
     coordinator_mark_all_jobs_lost(node);
     pool_reset(node->pool, now_ns);
     clients_close_all(node);
@@ -50,11 +50,8 @@
 node_update_now_ns(node_t *node)
 {
     int64_t now_ns = clock_now_ns();
-    int64_t gap_ns = now_ns - node->last_run_ns;
-    bool was_paused = node->last_run_ns != 0 &&
-                      gap_ns > (int64_t)kPauseThresholdMs * kNsPerMs;
-    node->last_run_ns = now_ns;
-    if (was_paused) {
+    int64_t gap_ns = pause_record_beat(&node->pause, now_ns);
+    if (gap_ns > 0) {
         handle_pause(node, gap_ns, now_ns);
     }
     return now_ns;
@@ -192,7 +189,7 @@
     if (node->stop_ns != 0) {
         node_schedule_advance(node);
     }
-    loop_timer_set(node->loop, timer, clock_deadline_ns(kTickMs));
+    loop_timer_set(node->loop, timer, clock_deadline_ns(kPauseBeatMs));
 }
 
 void
@@ -245,7 +242,8 @@
         return false;
     }
     record_publish(node);
-    loop_timer_set(node->loop, &node->tick_timer, clock_deadline_ns(kTickMs));
+    loop_timer_set(node->loop, &node->tick_timer,
+                   clock_deadline_ns(kPauseBeatMs));
     return true;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -18,6 +18,7 @@
 #include "ownership/partitions.h"
 #include "pool/pool.h"
 #include "runtime/control.h"
+#include "runtime/pause.h"
 
 enum {
     kMemberIdBytes = 320,
@@ -42,6 +43,7 @@
     bool is_join_pending; ///< a join request is unanswered
     bool is_retiring;     ///< releasing all its partitions, to leave
     int64_t join_due_ns;
+    int64_t confirmed_ns;   ///< last reply to a join; 0: none yet
     uint32_t join_failures; ///< in a row
     int64_t shortage_since_ns;
     int64_t surplus_since_ns;
@@ -109,9 +111,9 @@
     loop_timer_t due_timer;  ///< runs the next call of advance
     loop_timer_t tick_timer; ///< periodic
     loop_deferred_t advance;
-    int64_t last_run_ns; ///< last update of the clock by the loop
-    int64_t stop_ns;     ///< when the stop began; 0: not stopping
-    int64_t end_ns;      ///< when the process ends; 0: not known yet
+    pause_t pause;   ///< beats with each update of the clock by the loop
+    int64_t stop_ns; ///< when the stop began; 0: not stopping
+    int64_t end_ns;  ///< when the process ends; 0: not known yet
     void (*on_stopped)(void *owner);
     void *stopped_owner;
 };
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -64,6 +64,7 @@
         return;
     }
     group->join_failures = 0;
+    group->confirmed_ns = now_ns;
     bool has_new_generation =
         reply->generation > group->partitions.newest_generation;
     group->join_due_ns =
@@ -357,6 +358,19 @@
     }
 }
 
+void
+owner_log_memberships(const node_t *node, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < node->group_count; i++) {
+        const dc_group_t *group = &node->groups[i];
+        if (group->is_joined) {
+            log_event("membership", "dc=%s held=%u unconfirmed_ms=%lld",
+                      group->dc, partitions_count_held(&group->partitions),
+                      (long long)((now_ns - group->confirmed_ns) / kNsPerMs));
+        }
+    }
+}
+
 static void
 send_start(void *owner, const start_call_t *call)
 {
