coordinator: start no job that its caller has stopped waiting for

Cause: a request began to exist when it was read. The check for a pause drops what the process knew before, not what waits in its sockets.

Before each assignment to an owner, also a later one, the coordinator checks that the deadline has not passed and that the caller has not disconnected; otherwise it refuses the job at once with 503 and Retry-After.

--- a/src/node/coordinator.c
+++ b/src/node/coordinator.c
@@ -16,6 +16,7 @@
     kDeadlineGraceMs = 300,
     kNoOwnerRetryMs = 1000,  ///< Retry-After while no owner is known
     kStoppingRetryMs = 1000, ///< Retry-After while the node is stopping
+    kOverdueRetryMs = 1000,  ///< Retry-After for a request that came too late
     /// A stopping node accepts a job only if at least this multiple of the
     /// job's objective is left: estimates are off by up to that factor.
     kStopMarginFactor = 3,
@@ -159,6 +160,36 @@
             clock_now_ns() > node_stop_limit_ns(node) - margin_ns);
 }
 
+/// Settles a job that no caller waits for any more.
+///
+/// @return whether it was one
+static bool
+settle_overdue_job(caller_job_t *job)
+{
+    if (job->is_caller_gone(job)) {
+        counter_add(kCounterCallersGone, 1);
+        settle_job(job, kOrderOutcomeRefused, kErrorKindCancelled, 0);
+        return true;
+    }
+    if (job->deadline_ns <= clock_now_ns()) {
+        settle_job(job, kOrderOutcomeRefused, kErrorKindDeadlineUnmet,
+                   kOverdueRetryMs);
+        return true;
+    }
+    return false;
+}
+
+/// Assigns a job to an owner or defers it; refuses it when neither is
+/// possible.
+static void
+place_job(caller_job_t *job)
+{
+    if (!settle_overdue_job(job) && !assign_job(job) && !defer_job(job)) {
+        settle_job(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
+                   kNoOwnerRetryMs);
+    }
+}
+
 void
 coordinator_submit_job(caller_job_t *job)
 {
@@ -168,11 +199,9 @@
     if (ends_too_soon(job)) {
         settle_job(job, kOrderOutcomeRefused, kErrorKindDraining,
                    kStoppingRetryMs);
+        return;
     }
-    else if (!assign_job(job) && !defer_job(job)) {
-        settle_job(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
-                   kNoOwnerRetryMs);
-    }
+    place_job(job);
 }
 
 /// Withdraws a job from its owner, if it is assigned.
@@ -223,7 +252,7 @@
     job->is_assigned = false;
     if (settled->outcome == kOrderOutcomeRefused &&
         settled->kind != kErrorKindDeadline &&
-        (assign_job(job) ||
+        (settle_overdue_job(job) || assign_job(job) ||
          (is_no_owner_error(settled->kind) && defer_job(job)))) {
         return;
     }
@@ -264,10 +293,7 @@
         return job->retry_ns;
     }
     job->retry_ns = 0;
-    if (!assign_job(job) && !defer_job(job)) {
-        settle_job(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
-                   kNoOwnerRetryMs);
-    }
+    place_job(job);
     return INT64_MAX;
 }
 
--- a/src/node/coordinator.h
+++ b/src/node/coordinator.h
@@ -14,8 +14,10 @@
     node_t *node;
     arena_t *arena; ///< owns the order
     order_t order;
-    int64_t received_ns;
+    int64_t received_ns; ///< when the request arrived, as far as is known
     int64_t deadline_ns; ///< when the caller gives up
+    /// Whether the caller has disconnected. Called on the loop.
+    bool (*is_caller_gone)(const caller_job_t *job);
     /// Called on the loop, once.
     void (*on_settled)(caller_job_t *job);
     order_outcome_t outcome;
@@ -33,7 +35,9 @@
 };
 
 /// Submits a caller's job: assigns it to an owner, defers it while there is
-/// none, or refuses it. Loop thread only.
+/// none, or refuses it. A job is not assigned once its deadline has passed or
+/// its caller has disconnected: the caller may have submitted it to another
+/// node by then. Loop thread only.
 void coordinator_submit_job(caller_job_t *job);
 
 /// Withdraws and settles a job whose caller has disconnected. Loop thread
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -150,5 +150,15 @@
     's/^    clear_loss(pool, run);//'
 mutant size-of-target test_target src/route/target.c \
     's/^            strcmp(target->address, vm->address) == 0) {/            target->slots == vm->slots) {/'
+mutant request-age functional_test_late_request src/httpd/arrival.c \
+    's/return MS_TO_NS(tcp.tcpi_last_data_recv);/return 0;/'
+mutant pause-age test_pause src/runtime/pause.c \
+    's/return last_ns; .*/return now_ns;/'
+mutant pause-backlog test_pause src/runtime/pause.c \
+    's/? atomic_load(&pause->begin_ns)/? now_ns/'
+mutant overdue-request functional_test_late_request src/node/coordinator.c \
+    's/if (job->deadline_ns <= clock_now_ns()) {/if (false) {/'
+mutant caller-left functional_test_late_request src/node/coordinator.c \
+    's/if (job->is_caller_gone(job)) {/if (false) {/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
