pool: after a pause, targets get no starts before they have answered

A pause ended all orders, but whatever came next was started on what the sessions had known before: lists of runs, rooms and a token that another owner may have replaced. Targets reject a lower token; until then the node offered these targets to its coordinators.

Change: a pause restarts all sessions: a target gets no starts until it has answered a list call that was sent after the pause; a reply to an earlier one is ignored. Memberships are renewed at once, and the reply to a join from before the pause is not taken for news. The memberships themselves do not stop a node from starting: while the store is away, none could be renewed, and the targets' tokens decide.

Red before: test_pool 'sessions are verified after a pause' and 'sessions return after a pause' (3 assertions). Mutants: sessions-after-pause, reply-before-pause, join-before-pause, join-after-pause, each caught.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -39,9 +39,9 @@
 {
     log_event("paused", "gap_ms=%lld jobs=%u", (long long)(gap_ns / kNsPerMs),
               atomic_load(&node->job_count));
-    owner_log_memberships(node, now_ns);
     coordinator_mark_all_jobs_lost(node);
     pool_reset(node->pool, now_ns);
+    owner_handle_pause(node, now_ns);
     clients_close_all(node);
     peers_close_all(node);
 }
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -56,6 +56,12 @@
         return;
     }
     group->is_join_pending = false;
+    if (group->is_join_stale) {
+        group->is_join_stale = false;
+        group->join_due_ns = now_ns;
+        node_schedule_advance(node);
+        return;
+    }
     if (!reply->is_answered) {
         group->join_due_ns =
             now_ns +
@@ -359,16 +365,23 @@
 }
 
 void
-owner_log_memberships(const node_t *node, int64_t now_ns)
+owner_handle_pause(node_t *node, int64_t now_ns)
 {
     for (uint32_t i = 0; i < node->group_count; i++) {
-        const dc_group_t *group = &node->groups[i];
-        if (group->is_joined) {
-            log_event("membership", "dc=%s held=%u unconfirmed_ms=%lld",
-                      group->dc, partitions_count_held(&group->partitions),
-                      (long long)((now_ns - group->confirmed_ns) / kNsPerMs));
+        dc_group_t *group = &node->groups[i];
+        if (!group->is_joined) {
+            continue;
         }
+        int64_t unconfirmed_ns = group->confirmed_ns == 0
+                                     ? -kNsPerMs
+                                     : now_ns - group->confirmed_ns;
+        log_event("membership", "dc=%s held=%u unconfirmed_ms=%lld", group->dc,
+                  partitions_count_held(&group->partitions),
+                  (long long)(unconfirmed_ns / kNsPerMs));
+        group->is_join_stale = group->is_join_pending;
+        group->join_due_ns = now_ns;
     }
+    node_schedule_advance(node);
 }
 
 static void
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -26,8 +26,9 @@
 /// @return whether this node holds a partition of any data centre
 bool owner_has_partitions(const node_t *node);
 
-/// Logs how long ago the store confirmed each membership.
-void owner_log_memberships(const node_t *node, int64_t now_ns);
+/// Renews all memberships at once after a pause, in which they may have
+/// expired.
+void owner_handle_pause(node_t *node, int64_t now_ns);
 
 /// Leaves all groups.
 void owner_leave_all(node_t *node);
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -372,6 +372,12 @@
         order_settle(pool, pool->first_order, kOrderOutcomeLost,
                      kErrorKindTargetLost, 0, now_ns);
     }
+    // Another owner may have used the targets meanwhile: only their replies
+    // show whether they still accept this one's token.
+    for (pool_target_t *target = pool->first_target; target != NULL;
+         target = target->next) {
+        session_restart(target, now_ns);
+    }
 }
 
 /// Refuses an order that has waited in vain. Its wait counts for the estimates
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -127,16 +127,6 @@
     target->is_dropped = true;
 }
 
-/// Restarts the session under a new token.
-static void
-reset_session(pool_target_t *target, uint64_t token, int64_t now_ns)
-{
-    target->token = token;
-    target->is_fenced = false;
-    target->session = kSessionNew;
-    target->list_due_ns = now_ns;
-}
-
 void
 pool_put_target(pool_t *pool, const pool_target_info_t *info, uint64_t token,
                 int64_t now_ns)
@@ -155,7 +145,10 @@
     // Replies to list calls are the authority on the incarnation.
     target->info.born_ms = born_ms;
     if (token > target->token) {
-        reset_session(target, token, now_ns);
+        target->token = token;
+        target->is_fenced = false;
+        target->session = kSessionNew;
+        session_restart(target, now_ns);
     }
     else if (has_restarted && !target->is_list_pending) {
         target->list_due_ns = now_ns;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -216,7 +216,8 @@
 /// @return when to call it next, or INT64_MAX
 int64_t pool_advance(pool_t *pool, int64_t now_ns);
 
-/// Ends all orders as lost and stops their runs. Used after a pause of the
+/// Ends all orders as lost and stops their runs, and starts nothing on a
+/// target before it has answered a list call. Used after a pause of the
 /// process during which other nodes may have taken over.
 void pool_reset(pool_t *pool, int64_t now_ns);
 
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -60,6 +60,18 @@
     }
 }
 
+void
+session_restart(pool_target_t *target, int64_t now_ns)
+{
+    if (target->session == kSessionReady) {
+        target->session = kSessionNew;
+    }
+    target->session_number++;
+    if (!target->is_list_pending) {
+        target->list_due_ns = now_ns;
+    }
+}
+
 bool
 session_accepts_starts(const pool_target_t *target, int64_t now_ns)
 {
@@ -247,7 +259,7 @@
     target->is_list_pending = true;
     target->list_wait_ms = wait_ms;
     target->list_sent_ns = now_ns;
-    target->list_token = target->token;
+    target->list_session = target->session_number;
     target->list_due_ns = INT64_MAX;
     target->pending_calls++;
     counter_add(kCounterHoldsSent, 1);
@@ -447,8 +459,9 @@
         session_free_dropped(pool, target);
         return;
     }
-    if (target->list_token != target->token) {
-        // The session was reset after the call was sent: ignore the reply.
+    if (target->list_session != target->session_number) {
+        // The session was restarted after the call was sent: what the reply
+        // says may have changed.
         target->list_due_ns = now_ns;
         return;
     }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -120,7 +120,8 @@
     bool is_list_pending;
     uint32_t list_wait_ms; ///< wait_ms of the pending list call
     int64_t list_sent_ns;
-    uint64_t list_token; ///< token of the pending list call
+    uint64_t session_number; ///< increases when the session starts again
+    uint64_t list_session;   ///< session_number of the pending list call
     int64_t list_due_ns; ///< when to send the next list call; INT64_MAX: never
     uint64_t acked;      ///< highest end_number processed
     uint64_t acked_sent; ///< acked of the last answered list call
@@ -186,6 +187,9 @@
 /// Records that a lease is granted now, in lease_expiry_ns.
 void session_extend_lease(pool_target_t *target, const pool_limits_t *limits,
                           int64_t now_ns);
+/// Starts the session again: the target gets no starts until it has answered a
+/// list call that is sent from now on.
+void session_restart(pool_target_t *target, int64_t now_ns);
 bool session_accepts_starts(const pool_target_t *target, int64_t now_ns);
 /// Frees a dropped target that has no pending calls and no runs.
 void session_free_dropped(pool_t *pool, pool_target_t *target);
--- /dev/null
+++ b/tests/unit/test_owner.c
@@ -0,0 +1,88 @@
+/// The memberships of a node after a pause of its process.
+#include "node/owner.h"
+
+#include <apr_general.h>
+
+#include "base/units.h"
+#include "runtime/clock.h"
+#include "support/suite.h"
+
+enum { kPauseMs = 3000, kPartitionCount = 4 };
+
+static const char *const dcs[] = {"dc1"};
+
+static const node_settings_t settings = {.name = "n",
+                                         .dc = "dc1",
+                                         .dcs = (const char **)dcs,
+                                         .dcs_count = 1,
+                                         .address = "127.0.0.1",
+                                         .callers = "127.0.0.1:1",
+                                         .resubmit_ms = 1300,
+                                         .hold_limit_ms = 1000,
+                                         .partition_count = kPartitionCount};
+
+/// Lets a node with an unanswered join find that it was paused.
+static void
+pause_node(node_t *node)
+{
+    node->groups[0].is_joined = true;
+    node->groups[0].is_join_pending = true;
+    atomic_store(&node->pause.last_beat_ns,
+                 clock_now_ns() - MS_TO_NS(kPauseMs));
+}
+
+static void
+answer_join(node_t *node, uint64_t generation)
+{
+    const uint32_t partitions[kPartitionCount] = {0, 1, 2, 3};
+    join_reply_t reply = {.is_answered = true,
+                          .generation = generation,
+                          .partitions = partitions,
+                          .partition_count = kPartitionCount};
+    node_handle_join_reply(node, "dc1", &reply);
+}
+
+/// A join that was sent before the pause is answered after it: the membership
+/// may have expired since.
+static void
+test_join_reply_from_before_pause(void)
+{
+    arena_t *arena = arena_create();
+    node_t *node = node_create(&settings, arena);
+    const dc_group_t *group = &node->groups[0];
+    pause_node(node);
+    answer_join(node, 5);
+    CU_ASSERT_EQUAL(partitions_count_held(&group->partitions), 0);
+    CU_ASSERT_FALSE(group->is_join_pending);
+    CU_ASSERT(group->join_due_ns <= clock_now_ns());
+    answer_join(node, 6);
+    CU_ASSERT_EQUAL(partitions_count_held(&group->partitions),
+                    kPartitionCount);
+}
+
+static void
+test_memberships_are_renewed_after_pause(void)
+{
+    arena_t *arena = arena_create();
+    node_t *node = node_create(&settings, arena);
+    dc_group_t *group = &node->groups[0];
+    pause_node(node);
+    group->is_join_pending = false;
+    group->join_due_ns = clock_deadline_ns(1000);
+    node_update_now_ns(node);
+    CU_ASSERT(group->join_due_ns <= clock_now_ns());
+}
+
+int
+main(void)
+{
+    const CU_TestInfo tests[] = {
+        {"a reply to a join from before a pause says nothing",
+         test_join_reply_from_before_pause},
+        {"memberships are renewed after a pause",
+         test_memberships_are_renewed_after_pause},
+        CU_TEST_INFO_NULL,
+    };
+    apr_initialize();
+    return suite_run("owner", tests);
+}
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -460,6 +460,64 @@
     sim_clear(&sim);
 }
 
+/// A process was paused, and another owner has used its targets meanwhile: it
+/// offers no target and starts nothing until the targets have answered.
+static void
+test_sessions_are_verified_after_pause(void)
+{
+    create_sim(kTargetCount, 1);
+    sim_submit_equal(&sim, 0, "a1", kTargetCount, 100, 0);
+    run_for_ms(50);
+    sim.owners[0].is_frozen = true;
+    run_for_ms(kTakeoverMs);
+    sim_assign_targets(&sim, 1, 6);
+    run_for_ms(1000);
+    sim.owners[0].is_frozen = false;
+    pool_reset(sim.pools[0], sim.now_ns);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    0);
+    uint32_t starts = sim.counts.starts;
+    run_for_ms(1000);
+    CU_ASSERT_EQUAL(sim.counts.starts, starts);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    0);
+    sim_clear(&sim);
+}
+
+/// The reply to a list call that was sent before the pause arrives after it.
+static void
+test_reply_before_pause_is_ignored(void)
+{
+    create_sim(1, 1);
+    sim_submit_equal(&sim, 0, "a1", 1, 100, 0);
+    sim.list_reply_delay_ns = MS_TO_NS(30);
+    run_for_ms(115); // the run has ended, and the reply is on its way
+    CU_ASSERT_EQUAL(count_running(), 0);
+    pool_reset(sim.pools[0], sim.now_ns);
+    run_for_ms(25);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    0);
+    run_for_ms(50);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    1);
+    sim_clear(&sim);
+}
+
+/// Without another owner, the targets serve again after one round trip.
+static void
+test_sessions_return_after_pause(void)
+{
+    create_sim(kTargetCount, 1);
+    pool_reset(sim.pools[0], sim.now_ns);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    0);
+    pool_advance(sim.pools[0], sim.now_ns);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    kTargetCount);
+    sim_clear(&sim);
+}
+
 static int64_t
 work_by_job(sim_t *simulation, const run_name_t *name)
 {
@@ -586,6 +644,11 @@
         {"a new owner stops unknown runs", test_new_owner_stops_unknown_runs},
         {"a rejection of an old token is ignored",
          test_rejection_of_old_token_is_ignored},
+        {"sessions are verified after a pause",
+         test_sessions_are_verified_after_pause},
+        {"a reply from before a pause is ignored",
+         test_reply_before_pause_is_ignored},
+        {"sessions return after a pause", test_sessions_return_after_pause},
         {"rejected starts back off", test_rejected_starts_back_off},
         {"overload is refused at once", test_overload_is_refused_at_once},
         {"an order that will miss its objective starts last",
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -160,5 +160,13 @@
     's/if (job->deadline_ns <= clock_now_ns()) {/if (false) {/'
 mutant caller-left functional_test_late_request src/node/coordinator.c \
     's/if (job->is_caller_gone(job)) {/if (false) {/'
+mutant sessions-after-pause test_pool src/pool/orders.c \
+    's/^        session_restart(target, now_ns);//'
+mutant reply-before-pause test_pool src/pool/sessions.c \
+    's/if (target->list_session != target->session_number) {/if (false) {/'
+mutant join-before-pause test_owner src/node/owner.c \
+    's/group->is_join_stale = group->is_join_pending;/group->is_join_stale = false;/'
+mutant join-after-pause test_owner src/node/owner.c \
+    's/^        group->join_due_ns = now_ns;//'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
