node: owners know the age of an order when they read it

A frame that the network held back, or that a frozen coordinator had queued and sent on waking, was as good as new, although its coordinator had closed the link, told the caller so, and the job ran elsewhere.

Change: hello, ping, assign and targets_update state the sender's clock. The receiver keeps the least difference to its own for each link (link_clock): what a message exceeds it by is its age. It is taken from the order's time left; an order older than the time-out of links, after which its coordinator has given it up, is refused ('order_late'). The age of a feed update counts towards the age of the state that it carries. A sender that does not state its clock is treated as before.

Mutants: order-age, order-left, clock-drift, each caught. No test shows the age of feed updates.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -89,7 +89,7 @@
     if (pack_read_message(body, &hello_message_desc, arena, &hello, &err)) {
         session->role = hello.role;
     }
-    conn_send(session->conn, kMessageHello, &session->agent->control.hello);
+    control_send_hello(session->conn, &session->agent->control.hello);
 }
 
 static void
--- a/src/agent/peers.c
+++ b/src/agent/peers.c
@@ -8,7 +8,7 @@
 {
     agent_t *agent = conn->owner;
     config_get_message_t get = {.request = 1};
-    conn_send(conn, kMessageHello, &agent->control.hello);
+    control_send_hello(conn, &agent->control.hello);
     conn_send(conn, kMessageConfigGet, &get);
 }
 
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -3,6 +3,7 @@
 #include "codec/pack.h"
 #include "net/conn.h"
 #include "runtime/clock.h"
+#include "runtime/control.h"
 
 /// A request that waits for its reply.
 typedef struct {
@@ -25,7 +26,7 @@
 {
     request_t *request = conn->owner;
     hello_message_t hello = {.role = kRoleCtl};
-    conn_send(conn, kMessageHello, &hello);
+    control_send_hello(conn, &hello);
     conn_send(conn, request->type, request->message);
     if (request->reply_type == kMessageNone) {
         conn_flush(conn);
--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -2,8 +2,10 @@
 
 #include <stdlib.h>
 
+#include "base/counters.h"
 #include "base/units.h"
 #include "codec/pack.h"
+#include "net/link_clock.h"
 #include "node/coordinator.h"
 #include "node/target_feed.h"
 #include "runtime/clock.h"
@@ -24,8 +26,42 @@
     uint64_t number;      ///< identifies the client to the pool
     uint32_t order_count; ///< unsettled orders
     follower_t *follower; ///< NULL if it does not follow this node's targets
+    link_clock_t clock;
 };
 
+/// Takes the delay of an order from the time that it has left.
+///
+/// @return false if its coordinator has given it up by now
+static bool
+apply_delay(client_t *client, assign_message_t *assign, int64_t now_ns)
+{
+    int64_t age_ns =
+        link_clock_read_age_ns(&client->clock, assign->sent_us, now_ns);
+    if (age_ns >= coordinator_link_timeout_ns(client->node)) {
+        log_event("order_late", "job=%s guest=%llu age_ms=%lld",
+                  assign->order.job, (unsigned long long)client->number,
+                  (long long)(age_ns / kNsPerMs));
+        return false;
+    }
+    uint32_t age_ms = (uint32_t)(age_ns / kNsPerMs);
+    assign->order.left_ms -=
+        age_ms < assign->order.left_ms ? age_ms : assign->order.left_ms;
+    assign->order.waited_ms += age_ms;
+    return true;
+}
+
+/// Refuses an order before the pool has seen it.
+static void
+refuse_order(client_t *client, uint64_t request, error_kind_t kind)
+{
+    pool_order_result_t result = {.client = client->number,
+                                  .request = request,
+                                  .outcome = kOrderOutcomeRefused,
+                                  .kind = kind};
+    counter_add(kCounterOrdersRefused, 1);
+    clients_send_outcome(client->node, &result);
+}
+
 static void
 handle_assign(client_t *client, bytes_t body)
 {
@@ -34,9 +70,15 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &assign_message_desc, arena, &assign, &err)) {
+        int64_t now_ns = node_update_now_ns(node);
         client->order_count++;
-        pool_submit_order(node->pool, &assign.order, client->number,
-                          assign.request, node_update_now_ns(node));
+        if (apply_delay(client, &assign, now_ns)) {
+            pool_submit_order(node->pool, &assign.order, client->number,
+                              assign.request, now_ns);
+        }
+        else {
+            refuse_order(client, assign.request, kErrorKindNoDispatcher);
+        }
         node_schedule_advance(node);
     }
     else {
@@ -91,6 +133,7 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &ping_message_desc, arena, &ping, &err)) {
+        link_clock_read_age_ns(&client->clock, ping.sent_us, clock_now_ns());
         pool_status_t status =
             pool_read_status(client->node->pool, clock_now_ns());
         pong_message_t pong = {.number = ping.number,
@@ -103,12 +146,24 @@
     arena_destroy(arena);
 }
 
+static void
+handle_hello(client_t *client, bytes_t body)
+{
+    hello_message_t hello;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &hello_message_desc, arena, &hello, &err)) {
+        link_clock_read_age_ns(&client->clock, hello.sent_us, clock_now_ns());
+    }
+    arena_destroy(arena);
+    control_send_hello(client->conn, &client->node->control.hello);
+}
+
 typedef void (*handler_t)(client_t *client, bytes_t body);
 
 static const handler_t handlers[kMessageCount] = {
-    [kMessageAssign] = handle_assign,
-    [kMessageWithdraw] = handle_withdraw,
-    [kMessageFollow] = handle_follow,
+    [kMessageHello] = handle_hello,       [kMessageAssign] = handle_assign,
+    [kMessageWithdraw] = handle_withdraw, [kMessageFollow] = handle_follow,
     [kMessagePing] = handle_ping,
 };
 
--- a/src/node/liveness.c
+++ b/src/node/liveness.c
@@ -50,7 +50,7 @@
 on_open(conn_t *conn)
 {
     node_t *node = conn->owner;
-    conn_send(conn, kMessageHello, &node->control.hello);
+    control_send_hello(conn, &node->control.hello);
 }
 
 static void
--- a/src/node/peer_state.h
+++ b/src/node/peer_state.h
@@ -4,6 +4,7 @@
 #define JT_NODE_PEER_STATE_H
 
 #include "net/conn.h"
+#include "net/link_clock.h"
 #include "node/peers.h"
 
 struct peer {
@@ -33,6 +34,7 @@
                               ///< never
     room_t room;              ///< as received, minus what was assigned since
     uint32_t backlog_ms;
+    link_clock_t clock; ///< of the peer, on the current link
 };
 
 /// Which links this node wants. Derived from the members and from the state of
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -9,6 +9,7 @@
 #include "node/owner.h"
 #include "node/target_feed.h"
 #include "runtime/clock.h"
+#include "runtime/control.h"
 #include "runtime/log.h"
 
 enum {
@@ -30,7 +31,7 @@
 on_open(conn_t *conn)
 {
     peer_t *peer = conn->owner;
-    conn_send(conn, kMessageHello, &peer->node->control.hello);
+    control_send_hello(conn, &peer->node->control.hello);
     peer->ping_due_ns = 0;
     node_schedule_advance(peer->node);
 }
@@ -38,7 +39,13 @@
 static void
 handle_hello(peer_t *peer, bytes_t body)
 {
-    (void)body;
+    hello_message_t hello;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &hello_message_desc, arena, &hello, &err)) {
+        link_clock_read_age_ns(&peer->clock, hello.sent_us, clock_now_ns());
+    }
+    arena_destroy(arena);
     peer->is_up = true;
     peer->link_failures = 0;
     log_event("peer_up", "peer=%s", peer->name);
@@ -102,6 +109,9 @@
     arena_t *arena = arena_create();
     if (pack_read_message(body, &targets_update_message_desc, arena, &update,
                           &err)) {
+        int64_t age_ns = link_clock_read_age_ns(&peer->clock, update.sent_us,
+                                                clock_now_ns());
+        update.age_ms += (uint32_t)(age_ns / kNsPerMs);
         target_feed_handle_update(peer->node, peer->name, &update);
     }
     else {
@@ -140,6 +150,7 @@
     }
     peer->conn = NULL;
     peer->is_up = false;
+    peer->clock = (link_clock_t){0};
     peer->order_count = 0;
     peer->link_failures++;
     int64_t wait_ms = (int64_t)kReconnectStepMs * peer->link_failures;
@@ -265,7 +276,8 @@
         peer->ping_due_ns = now_ns + period_ns;
     }
     if (peer->is_up && peer->ping_due_ns <= now_ns) {
-        ping_message_t ping = {.number = ++peer->ping_number};
+        ping_message_t ping = {.number = ++peer->ping_number,
+                               .sent_us = link_clock_stamp_us(now_ns)};
         conn_send(peer->conn, kMessagePing, &ping);
         peer->ping_due_ns = now_ns + period_ns;
     }
@@ -393,8 +405,10 @@
 void
 peers_assign(peer_t *peer, const caller_job_t *job, int64_t now_ns)
 {
-    assign_message_t message = {
-        .request = job->request, .dc = peer->dc, .order = job->order};
+    assign_message_t message = {.request = job->request,
+                                .dc = peer->dc,
+                                .order = job->order,
+                                .sent_us = link_clock_stamp_us(now_ns)};
     if (peer->order_count == 0) {
         // The timeout of a busy link is shorter: it starts with the first
         // order.
--- a/src/node/target_feed_send.c
+++ b/src/node/target_feed_send.c
@@ -5,6 +5,7 @@
 
 #include "base/counters.h"
 #include "codec/pack.h"
+#include "net/link_clock.h"
 #include "node/catalog.h"
 #include "node/target_feed_state.h"
 #include "runtime/clock.h"
@@ -92,6 +93,7 @@
     targets_update_message_t update = {
         .offset = node->catalog_offset,
         .age_ms = (uint32_t)((now_ns - node->feed->read_ns) / kNsPerMs),
+        .sent_us = link_clock_stamp_us(now_ns),
         .counts = counts};
     for (uint32_t i = 0; i < node->group_count && i < kMaxDcs; i++) {
         counts[update.counts_count++] = (target_count_t){
--- a/src/runtime/agent_link.c
+++ b/src/runtime/agent_link.c
@@ -2,6 +2,7 @@
 
 #include "codec/pack.h"
 #include "runtime/clock.h"
+#include "runtime/control.h"
 #include "runtime/log.h"
 
 enum { kReconnectDelayMs = 500 };
@@ -11,7 +12,7 @@
 {
     agent_link_t *link = conn->owner;
     subscribe_message_t subscribe = {.config_offset = link->config_offset};
-    conn_send(conn, kMessageHello, &link->hello);
+    control_send_hello(conn, &link->hello);
     conn_send(conn, kMessageSubscribe, &subscribe);
     log_event("agent_up", "address=%s", link->address);
 }
--- a/src/runtime/control.c
+++ b/src/runtime/control.c
@@ -2,7 +2,9 @@
 
 #include "base/counters.h"
 #include "codec/pack.h"
+#include "net/link_clock.h"
 #include "runtime/app.h"
+#include "runtime/clock.h"
 
 static json_object *
 describe_counters(void)
@@ -15,11 +17,19 @@
     return counters;
 }
 
+void
+control_send_hello(conn_t *conn, const hello_message_t *hello)
+{
+    hello_message_t message = *hello;
+    message.sent_us = link_clock_stamp_us(clock_now_ns());
+    conn_send(conn, kMessageHello, &message);
+}
+
 static void
 answer_hello(const control_t *control, conn_t *conn, bytes_t body)
 {
     (void)body;
-    conn_send(conn, kMessageHello, &control->hello);
+    control_send_hello(conn, &control->hello);
 }
 
 static void
--- a/src/runtime/control.h
+++ b/src/runtime/control.h
@@ -16,6 +16,9 @@
     void *owner;
 } control_t;
 
+/// Sends a hello, which states the time.
+void control_send_hello(conn_t *conn, const hello_message_t *hello);
+
 /// Handles a message if it is one of these.
 ///
 /// @return whether it is
--- a/tests/functional/test_late_request.c
+++ b/tests/functional/test_late_request.c
@@ -1,5 +1,5 @@
-/// Requests that a node reads late: their callers have given them up, and may
-/// have submitted the jobs to other nodes.
+/// Requests and orders that a node reads late: their callers and coordinators
+/// have given them up, and may have submitted the jobs to other nodes.
 #include <apr_general.h>
 #include <apr_time.h>
 #include <arpa/inet.h>
@@ -12,11 +12,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "codec/pack.h"
+#include "generated/messages.h"
+#include "net/link_clock.h"
+#include "runtime/clock.h"
 #include "support/fleet.h"
 #include "support/suite.h"
 
 enum {
     kJobsPort = 8161,
+    kPeerPort = 7720,
     kTaskCount = 4,
     kTaskMs = 900,
     kResubmitMs = 1300,
@@ -25,7 +30,8 @@
     kShortFreezeMs = 300,
     kSettleMs = 400, ///< for starts that must not happen
     kResponseMs = 5000,
-    kRequestBytes = 1024
+    kRequestBytes = 1024,
+    kFrameHeaderBytes = 4
 };
 
 static fleet_t fleet;
@@ -173,6 +179,76 @@
     fleet_stop(&fleet);
 }
 
+static void
+send_frame(int fd, uint32_t type, const void *message)
+{
+    msgpack_sbuffer body;
+    msgpack_sbuffer_init(&body);
+    pack_write_message(&body, type, message_descs[type], message);
+    uint32_t length_bytes = htonl((uint32_t)body.size);
+    send(fd, &length_bytes, kFrameHeaderBytes, MSG_NOSIGNAL);
+    send(fd, body.data, body.size, MSG_NOSIGNAL);
+    msgpack_sbuffer_destroy(&body);
+}
+
+/// Sends an order to the owner as its coordinator would have some time ago.
+static void
+send_order(int fd, uint64_t request, const char *job, int64_t age_ms,
+           uint32_t left_ms)
+{
+    order_step_t step = {.task_count = 1,
+                         .cpu_mcores = 14000,
+                         .memory_mb = 64,
+                         .estimate_ms = 20,
+                         .constraint = "",
+                         .data_rack = ""};
+    assign_message_t assign = {
+        .request = request,
+        .dc = "dc1",
+        .order = {.job = job,
+                  .service = "s",
+                  .queue = "q",
+                  .payload = "20",
+                  .attempt_limit = 3,
+                  .slo_ms = 2000,
+                  .stretch_permille = 1000,
+                  .left_ms = left_ms,
+                  .steps = &step,
+                  .steps_count = 1},
+        .sent_us =
+            link_clock_stamp_us(clock_now_ns() - age_ms * (int64_t)kNsPerMs)};
+    send_frame(fd, kMessageAssign, &assign);
+}
+
+static bool
+has_started(void *state)
+{
+    const uint64_t *id = state;
+    return fleet_read_job_counter(&fleet, *id, "starts") == 1;
+}
+
+/// The network held two orders back, until the coordinator of one had closed
+/// the link, and past the deadline of the other.
+static void
+test_order_delayed_on_link(void)
+{
+    uint64_t fresh_id = 0x5002;
+    fleet_start(&fleet, 1, 1, 4);
+    int fd = connect_to(fleet.nodes[0].address, kPeerPort);
+    hello_message_t hello = {.role = kRoleNode,
+                             .sent_us = link_clock_stamp_us(clock_now_ns())};
+    send_frame(fd, kMessageHello, &hello);
+    send_order(fd, 1, "0000000000005001", 2000, 20000);
+    send_order(fd, 3, "0000000000005003", 300, 200);
+    send_order(fd, 2, "0000000000005002", 0, 20000);
+    process_wait_for(has_started, &fresh_id, "the order in time starts");
+    sleep_ms(kSettleMs);
+    CU_ASSERT_EQUAL(fleet_read_job_counter(&fleet, 0x5001, "starts"), 0);
+    CU_ASSERT_EQUAL(fleet_read_job_counter(&fleet, 0x5003, "starts"), 0);
+    close(fd);
+    fleet_stop(&fleet);
+}
+
 int
 main(void)
 {
@@ -185,6 +261,8 @@
          test_deadline_passes_in_short_freeze},
         {"nor one whose caller left in a short freeze",
          test_caller_leaves_in_short_freeze},
+        {"nor an order that was delayed on its link",
+         test_order_delayed_on_link},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -168,5 +168,11 @@
     's/group->is_join_stale = group->is_join_pending;/group->is_join_stale = false;/'
 mutant join-after-pause test_owner src/node/owner.c \
     's/^        group->join_due_ns = now_ns;//'
+mutant order-age functional_test_late_request src/node/clients.c \
+    's/if (age_ns >= coordinator_link_timeout_ns(client->node)) {/if (false) {/'
+mutant order-left functional_test_late_request src/node/clients.c \
+    's/age_ms < assign->order.left_ms ? age_ms : assign->order.left_ms;/0;/'
+mutant clock-drift test_link_clock src/net/link_clock.c \
+    's/kDriftPermille = 1$/kDriftPermille = 0/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
