front, dispatch: the deadline of a submission counts from its arrival

A submission that waited in the socket of a suspended front or dispatcher got its whole deadline again when it was read, and its tasks started after its caller had stopped waiting. No task ran twice, as the id binds a job to one dispatcher.

Change: the front counts deadline_ms from when the request arrived, as the kernel says. The dispatcher subtracts the age of the frame. A submission whose deadline has passed still reaches the dispatcher, as a repeat must get its answer, but is marked: as a first submission it is refused with 'not run'.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -17,6 +17,7 @@
 #include "limit/retry_budget.h"
 #include "net/conn.h"
 #include "net/http_client.h"
+#include "net/link_clock.h"
 #include "net/listener.h"
 #include "queue/task_queue.h"
 #include "route/estimate.h"
@@ -44,6 +45,7 @@
     uint32_t index; ///< in the shard's session table
     uint64_t generation;
     role_t role;
+    link_clock_t clock; ///< of the other end
 };
 
 struct shard {
--- a/src/dispatch/shard.c
+++ b/src/dispatch/shard.c
@@ -120,10 +120,11 @@
     error_info_t err = {0};
     if (pack_read_message(body, &hello_message_desc, arena, &hello, &err)) {
         session->role = hello.role;
+        link_clock_read_age_ns(&session->clock, hello.sent_us, clock_now_ns());
     }
     hello_message_t reply = session->shard->dispatch->control.hello;
     reply.draining = atomic_load(&session->shard->dispatch->is_draining);
-    conn_send(session->conn, kMessageHello, &reply);
+    control_send_hello(session->conn, &reply);
 }
 
 /// A request for ids that is passed from shard to shard. Each of N shards
@@ -275,13 +276,17 @@
         return;
     }
     const dispatch_settings_t *settings = session->shard->dispatch->settings;
+    int64_t now_ns = clock_now_ns();
+    int64_t sent_ns = now_ns - link_clock_read_age_ns(&session->clock,
+                                                      message.sent_us, now_ns);
     uint32_t left_ms =
         message.left_ms == 0 || message.left_ms > settings->job_limit_ms
             ? settings->job_limit_ms
             : message.left_ms;
     request.reply_to = make_reply_to(session, message.request);
     memcpy(request.digest, message.digest.data, kDigestBytes);
-    request.deadline_ns = clock_deadline_ns(left_ms);
+    request.deadline_ns =
+        message.is_overdue ? sent_ns : sent_ns + (int64_t)left_ms * kNsPerMs;
     request.document = message.job;
     forward_to_owner(session, &request, jobs_submit);
 }
--- a/src/front/dispatcher_link.c
+++ b/src/front/dispatcher_link.c
@@ -5,7 +5,9 @@
 
 #include "base/counters.h"
 #include "codec/pack.h"
+#include "net/link_clock.h"
 #include "runtime/clock.h"
+#include "runtime/control.h"
 #include "runtime/log.h"
 
 enum {
@@ -80,14 +82,18 @@
 send_submit(dispatcher_link_t *link, call_t *call)
 {
     uint8_t packed[kJobIdPackedBytes];
+    int64_t now_ns = clock_now_ns();
     uint32_t left_ms =
         call->deadline_ns == 0 ? 0 : clock_left_ms(call->deadline_ns);
+    bool is_overdue = call->deadline_ns != 0 && left_ms == 0;
     submit_message_t submit = {
         .request = call->request,
         .id = pack_id(call, packed),
         .digest = {.data = call->digest, .size_bytes = kCallDigestBytes},
-        .left_ms = call->deadline_ns != 0 && left_ms == 0 ? 1 : left_ms,
-        .job = call->document};
+        .left_ms = is_overdue ? 1 : left_ms, // 0 stands for the default
+        .job = call->document,
+        .is_overdue = is_overdue,
+        .sent_us = link_clock_stamp_us(now_ns)};
     conn_send(link->conn, kMessageSubmit, &submit);
 }
 
@@ -385,7 +391,7 @@
 on_open(conn_t *conn)
 {
     dispatcher_link_t *link = conn->owner;
-    conn_send(conn, kMessageHello, &link->relay->hello);
+    control_send_hello(conn, &link->relay->hello);
 }
 
 static void
@@ -523,7 +529,8 @@
         return;
     }
     if (link->is_ready && silence_ns >= limit_ns) {
-        ping_message_t ping = {.number = 1};
+        ping_message_t ping = {.number = 1,
+                               .sent_us = link_clock_stamp_us(now_ns)};
         conn_send(link->conn, kMessagePing, &ping);
     }
     loop_timer_set(link->relay->loop, timer, now_ns + limit_ns);
--- a/src/front/http.c
+++ b/src/front/http.c
@@ -12,6 +12,7 @@
 #include "base/counters.h"
 #include "codec/json.h"
 #include "front/responses.h"
+#include "httpd/arrival.h"
 #include "httpd/stop.h"
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
@@ -136,7 +137,9 @@
     crypto_generichash(call->digest, sizeof call->digest, body.data,
                        body.size_bytes, NULL, 0);
     if (call->document.deadline_ms > 0) {
-        call->deadline_ns = clock_deadline_ns(call->document.deadline_ms);
+        call->deadline_ns =
+            httpd_read_arrival_ns(exchange->connection, NULL, clock_now_ns()) +
+            (int64_t)call->document.deadline_ms * kNsPerMs;
     }
     return start_call(exchange, kCallSubmit);
 }
