--- a/src/net/link_clock.c
+++ b/src/net/link_clock.c
@@ -1,10 +1,12 @@
 #include "net/link_clock.h"
 
+#include "runtime/clock.h"
+
 enum {
-    kNsPerUnitUs = 1000,
     /// The least difference rises by this part of the time that passes, so
     /// that it follows clocks that drift apart.
-    kDriftPermille = 1
+    kDriftPermille = 1,
+    kPermille = 1000
 };
 
 /// A larger number is no time in microseconds since a machine started.
@@ -16,8 +18,9 @@
     if (sent_us == 0 || sent_us > MAX_STAMP_US) {
         return 0;
     }
-    int64_t offset_ns = now_ns - (int64_t)(sent_us * kNsPerUnitUs);
-    int64_t drift_ns = (now_ns - clock->updated_ns) / 1000 * kDriftPermille;
+    int64_t offset_ns = now_ns - (int64_t)(sent_us * kNsPerUs);
+    int64_t drift_ns =
+        (now_ns - clock->updated_ns) / kPermille * kDriftPermille;
     if (!clock->is_known || offset_ns < clock->least_offset_ns + drift_ns) {
         clock->least_offset_ns = offset_ns;
     }
@@ -32,5 +35,5 @@
 uint64_t
 link_clock_stamp_us(int64_t now_ns)
 {
-    return (uint64_t)now_ns / kNsPerUnitUs;
+    return (uint64_t)now_ns / kNsPerUs;
 }
--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -26,7 +26,7 @@
     uint64_t number;      ///< identifies the client to the pool
     uint32_t order_count; ///< unsettled orders
     follower_t *follower; ///< NULL if it does not follow this node's targets
-    link_clock_t clock;
+    link_clock_t clock;   ///< of the coordinator
 };
 
 /// Takes the delay of an order from the time that it has left.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -41,7 +41,7 @@
     partitions_t partitions;
     bool is_joined;       ///< joined, or joining
     bool is_join_pending; ///< a join request is unanswered
-    bool is_join_stale;   ///< it was sent before a pause
+    bool is_join_stale;   ///< that request was sent before a pause
     bool is_retiring;     ///< releasing all its partitions, to leave
     int64_t join_due_ns;
     int64_t confirmed_ns;   ///< last reply to a join; 0: none yet
--- a/tests/functional/test_late_request.c
+++ b/tests/functional/test_late_request.c
@@ -99,8 +99,8 @@
     fleet_signal(&fleet, node, SIGCONT);
 }
 
-/// The review's case 1: a node wakes from a freeze while the job, whose caller
-/// has gone, runs in another data centre.
+/// A node wakes from a freeze while the job, whose caller has gone, runs in
+/// another data centre (review case 1).
 static void
 test_job_submitted_elsewhere_during_freeze(void)
 {
@@ -257,11 +257,11 @@
          test_job_submitted_elsewhere_during_freeze},
         {"a job whose deadline passed in the socket does not start",
          test_deadline_passes_in_socket},
-        {"nor one whose deadline passed in a short freeze",
+        {"a job whose deadline passed in a short freeze does not start",
          test_deadline_passes_in_short_freeze},
-        {"nor one whose caller left in a short freeze",
+        {"a job whose caller left in a short freeze does not start",
          test_caller_leaves_in_short_freeze},
-        {"nor an order that was delayed on its link",
+        {"an order that was delayed on its link does not start",
          test_order_delayed_on_link},
         CU_TEST_INFO_NULL,
     };
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -173,7 +173,7 @@
 mutant order-left functional_test_late_request src/node/clients.c \
     's/age_ms < assign->order.left_ms ? age_ms : assign->order.left_ms;/0;/'
 mutant clock-drift test_link_clock src/net/link_clock.c \
-    's/kDriftPermille = 1$/kDriftPermille = 0/'
+    's/kDriftPermille = 1,/kDriftPermille = 0,/'
 mutant front-age functional_test_pause src/front/http.c \
     's/httpd_read_arrival_ns(exchange->connection, NULL, clock_now_ns())/clock_now_ns()/'
 mutant overdue-submission functional_test_pause src/dispatch/shard.c \
