node: only the deadline of a request counts from its arrival

What callers saw: a request that came right after a pause, or had waited in a full queue, was refused although it could be served.

Cause: the age of a request, right after a pause an upper limit of it, was taken for the time that the job had waited. The time in which a job may be deferred until an owner is known had passed at once (request_late age_ms=1887, refused, no_dispatcher). And a caller that states no limit was refused after the 10 s that the node assumes for it (age_ms=18796), while it waited.

After a pause, links to other nodes are opened again at once, not after the delay for failures.

--- a/src/front/http.c
+++ b/src/front/http.c
@@ -138,7 +138,7 @@
                        body.size_bytes, NULL, 0);
     if (call->document.deadline_ms > 0) {
         call->deadline_ns =
-            httpd_read_arrival_ns(exchange->connection, NULL, clock_now_ns()) +
+            httpd_read_arrival_ns(exchange->connection, clock_now_ns()) +
             (int64_t)call->document.deadline_ms * kNsPerMs;
     }
     return start_call(exchange, kCallSubmit);
--- a/src/httpd/arrival.c
+++ b/src/httpd/arrival.c
@@ -25,15 +25,9 @@
 }
 
 int64_t
-httpd_read_arrival_ns(struct MHD_Connection *connection, const pause_t *pause,
-                      int64_t now_ns)
+httpd_read_arrival_ns(struct MHD_Connection *connection, int64_t now_ns)
 {
-    int64_t arrival_ns = now_ns - read_data_age_ns(connection);
-    // The kernel's figure does not include time in which the machine was
-    // suspended.
-    return pause == NULL
-               ? arrival_ns
-               : min_ns(arrival_ns, pause_earliest_arrival_ns(pause, now_ns));
+    return now_ns - read_data_age_ns(connection);
 }
 
 bool
--- a/src/node/coordinator.h
+++ b/src/node/coordinator.h
@@ -14,7 +14,7 @@
     node_t *node;
     arena_t *arena; ///< owns the order
     order_t order;
-    int64_t received_ns; ///< when the request arrived, as far as is known
+    int64_t received_ns; ///< when the request was read
     int64_t deadline_ns; ///< when the caller gives up
     /// Whether the caller has disconnected. Called on the loop.
     bool (*is_caller_gone)(const caller_job_t *job);
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -314,6 +314,9 @@
     for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
         if (peer->conn != NULL) {
             conn_close(peer->conn);
+            // The link has not failed: it is opened again at once.
+            peer->link_failures = 0;
+            peer->connect_due_ns = 0;
         }
     }
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -175,7 +175,7 @@
 mutant clock-drift test_link_clock src/net/link_clock.c \
     's/kDriftPermille = 1,/kDriftPermille = 0,/'
 mutant front-age functional_test_pause src/front/http.c \
-    's/httpd_read_arrival_ns(exchange->connection, NULL, clock_now_ns())/clock_now_ns()/'
+    's/httpd_read_arrival_ns(exchange->connection, clock_now_ns())/clock_now_ns()/'
 mutant overdue-submission functional_test_pause src/dispatch/shard.c \
     's/message.is_overdue ? sent_ns : sent_ns/sent_ns/'
 mutant submission-age functional_test_pause src/dispatch/shard.c \
