node: owners count a client's orders in the pool

Cause: an order that settles at its deadline while its withdrawal is in transit lowered the owner's count of the client's orders twice. An order that another client takes over left the count too high, which only closes a link early.

Why it works: the count no longer exists. The orders that the pool holds for the client are counted when the time-out is chosen.

--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -24,11 +24,19 @@
     node_t *node;
     conn_t *conn;
     uint64_t number;      ///< identifies the client to the pool
-    uint32_t order_count; ///< unsettled orders
     follower_t *follower; ///< NULL if it does not follow this node's targets
     link_clock_t clock;   ///< of the coordinator
 };
 
+/// @return the number of unsettled orders. The pool is the only one to know:
+///         an order may be settled while its withdrawal is in transit, or be
+///         taken over by another client.
+static uint32_t
+count_orders(const client_t *client)
+{
+    return pool_count_client_orders(client->node->pool, client->number);
+}
+
 /// Takes the delay of an order from the time that it has left.
 ///
 /// @return false if its coordinator has given it up by now
@@ -71,7 +79,6 @@
     arena_t *arena = arena_create();
     if (pack_read_message(body, &assign_message_desc, arena, &assign, &err)) {
         int64_t now_ns = node_update_now_ns(node);
-        client->order_count++;
         if (apply_delay(client, &assign, now_ns)) {
             pool_submit_order(node->pool, &assign.order, client->number,
                               assign.request, now_ns);
@@ -97,9 +104,6 @@
     arena_t *arena = arena_create();
     if (pack_read_message(body, &withdraw_message_desc, arena, &withdraw,
                           &err)) {
-        if (client->order_count > 0) {
-            client->order_count--;
-        }
         pool_withdraw_order(node->pool, client->number, withdraw.request,
                             node_update_now_ns(node));
         node_schedule_advance(node);
@@ -187,9 +191,10 @@
 {
     client_t *client = conn->owner;
     node_t *node = client->node;
-    if (client->order_count > 0) {
+    uint32_t order_count = count_orders(client);
+    if (order_count > 0) {
         log_event("guest_lost", "guest=%llu orders=%u",
-                  (unsigned long long)client->number, client->order_count);
+                  (unsigned long long)client->number, order_count);
     }
     if (client->prev != NULL) {
         client->prev->next = client->next;
@@ -235,9 +240,6 @@
     if (client == NULL) {
         return;
     }
-    if (client->order_count > 0) {
-        client->order_count--;
-    }
     pool_status_t status = pool_read_status(node->pool, clock_now_ns());
     settled_message_t message = {.request = settled->request,
                                  .outcome = settled->outcome,
@@ -259,12 +261,13 @@
     client_t *next;
     for (client_t *client = node->clients; client != NULL; client = next) {
         next = client->next;
+        uint32_t order_count = count_orders(client);
         int64_t deadline_ns =
             client->conn->last_received_ns +
-            (client->order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs));
+            (order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs));
         if (deadline_ns <= now_ns) {
             log_event("guest_silent", "guest=%llu orders=%u",
-                      (unsigned long long)client->number, client->order_count);
+                      (unsigned long long)client->number, order_count);
             conn_close(client->conn);
         }
         else if (deadline_ns < due_ns) {
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -365,6 +365,17 @@
     }
 }
 
+uint32_t
+pool_count_client_orders(const pool_t *pool, uint64_t client)
+{
+    uint32_t count = 0;
+    for (const pool_order_t *order = pool->first_order; order != NULL;
+         order = order->next) {
+        count += order->client == client;
+    }
+    return count;
+}
+
 void
 pool_reset(pool_t *pool, int64_t now_ns)
 {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -197,6 +197,9 @@
 /// Stops all orders of a client that is unreachable. Reports no results.
 void pool_drop_client(pool_t *pool, uint64_t client, int64_t now_ns);
 
+/// @return the number of orders whose result goes to a client
+uint32_t pool_count_client_orders(const pool_t *pool, uint64_t client);
+
 /// Sets whether new orders are refused because the node is stopping.
 void pool_set_closed(pool_t *pool, bool is_closed);
 
--- /dev/null
+++ b/tests/unit/test_clients.c
@@ -0,0 +1,290 @@
+/// An owner and the coordinators that assign orders to it.
+#include "node/clients.h"
+
+#include <apr_general.h>
+#include <stdio.h>
+
+#include "base/units.h"
+#include "net/link_clock.h"
+#include "net/listener.h"
+#include "runtime/clock.h"
+#include "support/process.h"
+#include "support/suite.h"
+
+enum {
+    kPeerPort = 7723,
+    kResubmitMs = 1300,
+    kTaskMs = 8000,
+    kShortOrderMs = 60,
+    kLongOrderMs = 20000,
+    kSettleMs = 100,
+    /// The owner drops a silent coordinator within 40% of kResubmitMs.
+    kSilenceMs = 700
+};
+
+static const char *const dcs[] = {"dc1"};
+
+/// A node with one target, and the connection of a coordinator to it.
+typedef struct {
+    node_t *node;
+    conn_t *conn;
+    loop_timer_t timer;
+    uint32_t settled_count;
+    pool_target_t *listed; ///< target of a list call without a reply
+} fixture_t;
+
+static fixture_t fixture;
+
+static void
+ignore_start(adapter_t *adapter, const start_call_t *call)
+{
+    (void)adapter;
+    (void)call;
+}
+
+static void
+ignore_stop(adapter_t *adapter, const stop_call_t *call)
+{
+    (void)adapter;
+    (void)call;
+}
+
+static void
+note_list(adapter_t *adapter, const list_call_t *call)
+{
+    (void)adapter;
+    fixture.listed = call->pool_target;
+}
+
+static void
+ignore_join(adapter_t *adapter, const char *dc, const char *member_id,
+            uint64_t generation)
+{
+    (void)adapter;
+    (void)dc;
+    (void)member_id;
+    (void)generation;
+}
+
+static void
+ignore_leave(adapter_t *adapter, const char *dc, const char *member_id)
+{
+    (void)adapter;
+    (void)dc;
+    (void)member_id;
+}
+
+static void
+ignore_probe(adapter_t *adapter, const pool_target_info_t *target)
+{
+    (void)adapter;
+    (void)target;
+}
+
+static void
+ignore_reads(adapter_t *adapter, target_reads_t reads)
+{
+    (void)adapter;
+    (void)reads;
+}
+
+static void
+ignore_record(adapter_t *adapter, const node_record_t *record)
+{
+    (void)adapter;
+    (void)record;
+}
+
+static void
+ignore_deletion(adapter_t *adapter, const char *name)
+{
+    (void)adapter;
+    (void)name;
+}
+
+static const adapter_ops_t adapter_ops = {.start = ignore_start,
+                                          .stop = ignore_stop,
+                                          .list = note_list,
+                                          .probe = ignore_probe,
+                                          .join = ignore_join,
+                                          .leave = ignore_leave,
+                                          .set_target_reads = ignore_reads,
+                                          .publish_record = ignore_record,
+                                          .delete_record = ignore_deletion};
+
+static void
+on_message(conn_t *conn, uint32_t type, bytes_t body)
+{
+    (void)conn;
+    (void)body;
+    fixture.settled_count += type == kMessageSettled;
+}
+
+static void
+on_close(conn_t *conn)
+{
+    (void)conn;
+    fixture.conn = NULL;
+}
+
+static const conn_ops_t conn_ops = {.on_message = on_message,
+                                    .on_close = on_close,
+                                    .frame_limit_bytes = kNodeFrameLimitBytes};
+
+static void
+on_end(loop_timer_t *timer)
+{
+    loop_stop(((fixture_t *)timer->owner)->node->loop);
+}
+
+static void
+run_for_ms(uint32_t ms)
+{
+    loop_timer_init(&fixture.timer, on_end, &fixture);
+    loop_timer_set(fixture.node->loop, &fixture.timer, clock_deadline_ns(ms));
+    loop_run(fixture.node->loop);
+}
+
+/// Adds a target without runs to the pool and answers its first list call.
+static void
+add_target(node_t *node)
+{
+    const pool_target_info_t info = {.id = "t1",
+                                     .address = "127.0.0.1:1",
+                                     .service = "s",
+                                     .dc = "dc1",
+                                     .born_ms = 1000,
+                                     .cpu_mcores = 32000,
+                                     .memory_mb = 65536};
+    const list_reply_t reply = {
+        .kind = kReplyDone, .clock_ms = 5000, .born_ms = info.born_ms};
+    pool_put_target(node->pool, &info, 5, clock_now_ns());
+    pool_advance(node->pool, clock_now_ns());
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.listed);
+    node_handle_list_reply(node, fixture.listed, &reply);
+}
+
+static void
+open_fixture(void)
+{
+    static char address[24];
+    static node_settings_t settings;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    snprintf(address, sizeof address, "127.%u.4.1", process_reserve_network());
+    settings = (node_settings_t){.name = "n",
+                                 .dc = "dc1",
+                                 .dcs = (const char **)dcs,
+                                 .dcs_count = 1,
+                                 .address = address,
+                                 .callers = "127.0.0.1:1",
+                                 .peer_port = kPeerPort,
+                                 .resubmit_ms = kResubmitMs,
+                                 .hold_limit_ms = 1000,
+                                 .partition_count = 4};
+    fixture = (fixture_t){.node = node_create(&settings, arena)};
+    CU_ASSERT_FATAL(node_open(fixture.node, &adapter_ops, NULL, &err));
+    add_target(fixture.node);
+    fixture.conn = conn_connect(fixture.node->loop, NULL, address, kPeerPort,
+                                &conn_ops, &fixture, &err);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.conn);
+    run_for_ms(kSettleMs);
+}
+
+static void
+close_fixture(void)
+{
+    if (fixture.conn != NULL) {
+        conn_close(fixture.conn);
+    }
+    run_for_ms(kSettleMs);
+    listener_close(fixture.node->listener);
+}
+
+/// Assigns an order of one task.
+static void
+assign_order(uint64_t request, uint32_t left_ms)
+{
+    char job[24];
+    snprintf(job, sizeof job, "%llx", (unsigned long long)request);
+    order_step_t step = {.task_count = 1,
+                         .cpu_mcores = 1000,
+                         .memory_mb = 64,
+                         .estimate_ms = kTaskMs,
+                         .constraint = "",
+                         .data_rack = ""};
+    const assign_message_t assign = {.request = request,
+                                     .dc = "dc1",
+                                     .order = {.job = job,
+                                               .service = "s",
+                                               .queue = "q",
+                                               .payload = "p",
+                                               .attempt_limit = 3,
+                                               .slo_ms = 60,
+                                               .stretch_permille = 1600,
+                                               .left_ms = left_ms,
+                                               .steps = &step,
+                                               .steps_count = 1},
+                                     .sent_us =
+                                         link_clock_stamp_us(clock_now_ns())};
+    conn_send(fixture.conn, kMessageAssign, &assign);
+}
+
+static void
+withdraw_order(uint64_t request)
+{
+    const withdraw_message_t withdraw = {.request = request};
+    conn_send(fixture.conn, kMessageWithdraw, &withdraw);
+}
+
+static uint32_t
+count_orders(void)
+{
+    return pool_read_status(fixture.node->pool, clock_now_ns()).order_count;
+}
+
+/// An order settles while its withdrawal is in transit. The owner must still
+/// drop the coordinator's other order once it is silent (review case 6).
+static void
+test_outcome_crosses_withdrawal(void)
+{
+    open_fixture();
+    assign_order(0xa1, kLongOrderMs);
+    assign_order(0xa2, kShortOrderMs);
+    run_for_ms(kShortOrderMs + kSettleMs);
+    CU_ASSERT_EQUAL(fixture.settled_count, 1);
+    CU_ASSERT_EQUAL(count_orders(), 1);
+    withdraw_order(0xa2);
+    run_for_ms(kSilenceMs);
+    CU_ASSERT_EQUAL(count_orders(), 0);
+    CU_ASSERT_PTR_NULL(fixture.conn);
+    close_fixture();
+}
+
+/// A coordinator without orders may be silent for longer.
+static void
+test_idle_coordinator_is_kept(void)
+{
+    open_fixture();
+    assign_order(0xb1, kLongOrderMs);
+    run_for_ms(kSettleMs);
+    withdraw_order(0xb1);
+    run_for_ms(kSilenceMs);
+    CU_ASSERT_EQUAL(count_orders(), 0);
+    CU_ASSERT_PTR_NOT_NULL(fixture.conn);
+    close_fixture();
+}
+
+int
+main(void)
+{
+    const CU_TestInfo tests[] = {
+        {"the outcome of an order crosses its withdrawal",
+         test_outcome_crosses_withdrawal},
+        {"a coordinator without orders is kept",
+         test_idle_coordinator_is_kept},
+        CU_TEST_INFO_NULL,
+    };
+    apr_initialize();
+    return suite_run("clients", tests);
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -180,5 +180,9 @@
     's/message.is_overdue ? sent_ns : sent_ns/sent_ns/'
 mutant submission-age functional_test_pause src/dispatch/shard.c \
     's/int64_t sent_ns = now_ns - link_clock/int64_t sent_ns = now_ns - 0 * link_clock/'
+mutant silent-client test_clients src/node/clients.c \
+    's/(order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs))/MS_TO_NS(kIdleTimeoutMs)/'
+mutant idle-client test_clients src/node/clients.c \
+    's/(order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs))/timeout_ns/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
