pool: runs whose order has ended are gone before the job comes again

Cause: nothing but an answered stop ended such a run. The lease of its target was renewed as long as the target held any run: for other jobs' runs, with their starts, and for the run itself.

Change: a run whose order has ended carries the time by which it must be gone, 60% of resubmit_ms after the caller may have given up (src/pool/lease.c). No lease of its target is granted beyond that, and starts that need one are not placed there. The time counts from the deadline, from the last sign of a silent coordinator, from the beginning of a pause, and from the stamp that withdrawals now carry. When the lease has certainly expired, such runs are over, also on a target that answers lists but no stop. To spare the other runs of the target, stops are repeated after 30, 60 and 120 ms instead of 250 ms, as long as the target answers at all. New: counter leases_withheld, event lease_withheld.

Why it works: a lease is the one thing that ends a run without a call, and lease_ms (50%) plus the errors of the clocks fit before the bound; the bound and the longest undetected pause (450 ms) fit before resubmit_ms.

--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -104,8 +104,11 @@
     arena_t *arena = arena_create();
     if (pack_read_message(body, &withdraw_message_desc, arena, &withdraw,
                           &err)) {
+        int64_t now_ns = node_update_now_ns(node);
+        int64_t age_ns = link_clock_read_age_ns(&client->clock,
+                                                withdraw.given_up_us, now_ns);
         pool_withdraw_order(node->pool, client->number, withdraw.request,
-                            node_update_now_ns(node));
+                            now_ns - age_ns, now_ns);
         node_schedule_advance(node);
     }
     arena_destroy(arena);
@@ -206,7 +209,8 @@
         client->next->prev = client->prev;
     }
     target_feed_remove_follower(node, client->follower);
-    pool_drop_client(node->pool, client->number, clock_now_ns());
+    pool_drop_client(node->pool, client->number, conn->last_received_ns,
+                     clock_now_ns());
     node_schedule_advance(node);
     loop_free_later(node->loop, client, free);
 }
--- a/src/node/coordinator.c
+++ b/src/node/coordinator.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/counters.h"
+#include "base/units.h"
 #include "node/owner.h"
 #include "node/peers.h"
 #include "runtime/clock.h"
@@ -205,20 +206,25 @@
 }
 
 /// Withdraws a job from its owner, if it is assigned.
+///
+/// @param noticed_ns  when this node learned that the caller has given up; it
+///                    has done so at its deadline at the latest
 static void
-withdraw_job(caller_job_t *job)
+withdraw_job(caller_job_t *job, int64_t noticed_ns)
 {
     node_t *node = job->node;
+    int64_t given_up_ns = min_ns(job->deadline_ns, noticed_ns);
     if (!job->is_assigned) {
         return;
     }
     job->is_assigned = false;
     if (job->peer == NULL) {
-        pool_withdraw_order(node->pool, 0, job->request, clock_now_ns());
+        pool_withdraw_order(node->pool, 0, job->request, given_up_ns,
+                            clock_now_ns());
         node_schedule_advance(node);
     }
     else {
-        peers_withdraw(job->peer, job);
+        peers_withdraw(job->peer, job, given_up_ns);
     }
 }
 
@@ -226,7 +232,7 @@
 coordinator_abandon_job(caller_job_t *job)
 {
     counter_add(kCounterCallersGone, 1);
-    withdraw_job(job);
+    withdraw_job(job, clock_now_ns());
     settle_job(job, kOrderOutcomeLost, kErrorKindCancelled, 0);
 }
 
@@ -273,12 +279,12 @@
 }
 
 void
-coordinator_mark_all_jobs_lost(node_t *node)
+coordinator_mark_all_jobs_lost(node_t *node, int64_t since_ns)
 {
     caller_job_t *next;
     for (caller_job_t *job = node->jobs; job != NULL; job = next) {
         next = job->next;
-        withdraw_job(job);
+        withdraw_job(job, since_ns);
         settle_job(job, kOrderOutcomeLost, kErrorKindHomeLost, 0);
     }
 }
@@ -307,7 +313,7 @@
         int64_t limit_ns =
             job->deadline_ns + (int64_t)kDeadlineGraceMs * kNsPerMs;
         if (limit_ns <= now_ns) {
-            withdraw_job(job);
+            withdraw_job(job, now_ns);
             settle_job(job, kOrderOutcomeLost, kErrorKindDeadline, 0);
             continue;
         }
--- a/src/node/coordinator.h
+++ b/src/node/coordinator.h
@@ -56,7 +56,9 @@
 void coordinator_mark_peer_jobs_lost(node_t *node, const peer_t *peer);
 
 /// Settles all jobs as lost, as after a pause of the process.
-void coordinator_mark_all_jobs_lost(node_t *node);
+///
+/// @param since_ns  their callers may have given up since then
+void coordinator_mark_all_jobs_lost(node_t *node, int64_t since_ns);
 
 /// Settles jobs that are past their deadline, and retries deferred ones.
 ///
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -39,8 +39,8 @@
 {
     log_event("paused", "gap_ms=%lld jobs=%u", (long long)(gap_ns / kNsPerMs),
               atomic_load(&node->job_count));
-    coordinator_mark_all_jobs_lost(node);
-    pool_reset(node->pool, now_ns);
+    coordinator_mark_all_jobs_lost(node, now_ns - gap_ns);
+    pool_reset(node->pool, now_ns - gap_ns, now_ns);
     owner_handle_pause(node, now_ns);
     clients_close_all(node);
     peers_close_all(node);
@@ -104,7 +104,7 @@
     if (node->end_ns == 0 &&
         (is_past_limit || may_end(node, &status, now_ns))) {
         atomic_store(&node->is_closed, true);
-        coordinator_mark_all_jobs_lost(node);
+        coordinator_mark_all_jobs_lost(node, now_ns);
         owner_leave_all(node);
         node->end_ns = now_ns + (int64_t)kReplyFlushMs * kNsPerMs;
     }
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -18,6 +18,11 @@
     /// Lease, in percent of resubmit_ms. The sum with kLinkTimeoutPercent must
     /// be less than 100.
     kLeasePercent = 50,
+    /// Time from the end of an order to the end of its runs, in percent of
+    /// resubmit_ms. More than a lease, with the errors of the targets' clocks.
+    /// The rest covers a coordinator that learns of the end late, after a
+    /// pause that is too short to be noticed (kPauseThresholdMs).
+    kOrphanPercent = 60,
     kRevokeTimeoutMs = 2500, ///< for runs on revoked partitions to end
     kRevokeCheckMs = 40,     ///< between checks of these runs
     kProbePeriodMs = 500,    ///< between probes of a data centre
@@ -462,6 +467,8 @@
     return (pool_limits_t){.lease_ms = lease_ms < settings->hold_limit_ms
                                            ? lease_ms
                                            : settings->hold_limit_ms,
+                           .orphan_ms =
+                               settings->resubmit_ms * kOrphanPercent / 100,
                            .remote_permille = settings->remote_factor};
 }
 
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -7,8 +7,8 @@
 
 /// Derives the limits of the pool from the settings. A caller that loses its
 /// coordinator resubmits after resubmit_ms. By then, either the owner has
-/// closed its silent link to the coordinator, or the owner's last lease has
-/// expired.
+/// closed its silent link to the coordinator and the runs have ended, or the
+/// owner's last lease has expired.
 pool_limits_t owner_limits(const node_settings_t *settings);
 
 /// Creates the pool, and the groups of the data centres.
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -425,10 +425,13 @@
 }
 
 void
-peers_withdraw(const peer_t *peer, const caller_job_t *job)
+peers_withdraw(const peer_t *peer, const caller_job_t *job,
+               int64_t given_up_ns)
 {
     if (peer->conn != NULL) {
-        withdraw_message_t message = {.request = job->request};
+        withdraw_message_t message = {.request = job->request,
+                                      .given_up_us =
+                                          link_clock_stamp_us(given_up_ns)};
         conn_send(peer->conn, kMessageWithdraw, &message);
     }
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -56,6 +56,9 @@
 void peers_assign(peer_t *peer, const caller_job_t *job, int64_t now_ns);
 
 /// Tells a peer that an order is no longer wanted.
-void peers_withdraw(const peer_t *peer, const caller_job_t *job);
+///
+/// @param given_up_ns  the earliest time when the caller may have given up
+void peers_withdraw(const peer_t *peer, const caller_job_t *job,
+                    int64_t given_up_ns);
 
 #endif
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -119,15 +119,16 @@
 }
 
 /// Stops the runs of an order and frees it.
+///
+/// @param given_up_ns  the earliest time when the caller may have given up
 static void
-end_order(pool_t *pool, pool_order_t *order, int64_t now_ns)
+end_order(pool_t *pool, pool_order_t *order, int64_t given_up_ns,
+          int64_t now_ns)
 {
     unlink_order(pool, order);
     for (uint32_t i = 0; i < order->task_count; i++) {
-        pool_run_t *run = order->tasks[i].run;
-        if (run != NULL) {
-            run->task = NULL;
-            run_stop(pool, run, now_ns);
+        if (order->tasks[i].run != NULL) {
+            run_orphan(pool, order->tasks[i].run, given_up_ns, now_ns);
         }
     }
     arena_destroy(order->arena);
@@ -152,7 +153,7 @@
                                   .retry_after_ms = retry_after_ms};
     counter_add(outcome_counters[outcome], 1);
     pool->ops->settle(pool->owner, &result);
-    end_order(pool, order, now_ns);
+    end_order(pool, order, min_ns(order->deadline_ns, now_ns), now_ns);
 }
 
 void
@@ -339,20 +340,21 @@
 
 void
 pool_withdraw_order(pool_t *pool, uint64_t client, uint64_t request,
-                    int64_t now_ns)
+                    int64_t given_up_ns, int64_t now_ns)
 {
     for (pool_order_t *order = pool->first_order; order != NULL;
          order = order->next) {
         if (order->client == client && order->request == request) {
             counter_add(kCounterOrdersWithdrawn, 1);
-            end_order(pool, order, now_ns);
+            end_order(pool, order, given_up_ns, now_ns);
             return;
         }
     }
 }
 
 void
-pool_drop_client(pool_t *pool, uint64_t client, int64_t now_ns)
+pool_drop_client(pool_t *pool, uint64_t client, int64_t heard_ns,
+                 int64_t now_ns)
 {
     pool_order_t *next;
     for (pool_order_t *order = pool->first_order; order != NULL;
@@ -360,7 +362,7 @@
         next = order->next;
         if (order->client == client) {
             counter_add(kCounterOrdersWithdrawn, 1);
-            end_order(pool, order, now_ns);
+            end_order(pool, order, heard_ns, now_ns);
         }
     }
 }
@@ -377,11 +379,13 @@
 }
 
 void
-pool_reset(pool_t *pool, int64_t now_ns)
+pool_reset(pool_t *pool, int64_t paused_ns, int64_t now_ns)
 {
     while (pool->first_order != NULL) {
-        order_settle(pool, pool->first_order, kOrderOutcomeLost,
-                     kErrorKindTargetLost, 0, now_ns);
+        pool_order_t *order = pool->first_order;
+        order->deadline_ns = min_ns(order->deadline_ns, paused_ns);
+        order_settle(pool, order, kOrderOutcomeLost, kErrorKindTargetLost, 0,
+                     now_ns);
     }
     // Another owner may have used the targets meanwhile: only their replies
     // show whether they still accept this one's token.
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -148,7 +148,7 @@
     choice_t choice = {.score_ns = INT64_MAX, .fastest_ns = INT64_MAX};
     for (pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (!session_accepts_starts(target, now_ns) ||
+        if (!session_accepts_starts(pool, target, now_ns) ||
             !is_allowed(target, order, step)) {
             continue;
         }
@@ -195,8 +195,9 @@
     for (pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
         resources_t capacity = read_capacity(target);
-        if (session_accepts_starts(target, now_ns) && !target->is_reserved &&
-            is_allowed(target, order, step) && fits(&capacity, step) &&
+        if (session_accepts_starts(pool, target, now_ns) &&
+            !target->is_reserved && is_allowed(target, order, step) &&
+            fits(&capacity, step) &&
             (best == NULL || target->run_count < best->run_count)) {
             best = target;
         }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -263,7 +263,7 @@
                             .backlog_ms = wait_backlog_ms(pool, UINT32_MAX)};
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (!session_accepts_starts(target, now_ns)) {
+        if (!session_accepts_starts(pool, target, now_ns)) {
             continue;
         }
         status.target_count++;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -149,7 +149,11 @@
 
 /// Limits from the deployment's settings.
 typedef struct {
-    uint32_t lease_ms; ///< longest lease that targets grant
+    uint32_t lease_ms; ///< longest lease that is granted to targets
+    /// Time from the end of an order until its runs have ended, even if the
+    /// targets answer no stop. Longer than lease_ms, and shorter than the time
+    /// after which callers submit a job again.
+    uint32_t orphan_ms;
     /// Run time of a task outside the rack of its data, relative to its run
     /// time inside it.
     uint32_t remote_permille;
@@ -191,11 +195,16 @@
                        uint64_t request, int64_t now_ns);
 
 /// Stops an order that its client has withdrawn. Reports no result.
+///
+/// @param given_up_ns  the earliest time when the caller may have given up
 void pool_withdraw_order(pool_t *pool, uint64_t client, uint64_t request,
-                         int64_t now_ns);
+                         int64_t given_up_ns, int64_t now_ns);
 
 /// Stops all orders of a client that is unreachable. Reports no results.
-void pool_drop_client(pool_t *pool, uint64_t client, int64_t now_ns);
+///
+/// @param heard_ns  when the client was last known to be reachable
+void pool_drop_client(pool_t *pool, uint64_t client, int64_t heard_ns,
+                      int64_t now_ns);
 
 /// @return the number of orders whose result goes to a client
 uint32_t pool_count_client_orders(const pool_t *pool, uint64_t client);
@@ -222,7 +231,9 @@
 /// Ends all orders as lost and stops their runs, and starts nothing on a
 /// target before it has answered a list call. Used after a pause of the
 /// process during which other nodes may have taken over.
-void pool_reset(pool_t *pool, int64_t now_ns);
+///
+/// @param paused_ns  when the process was last known to run before the pause
+void pool_reset(pool_t *pool, int64_t paused_ns, int64_t now_ns);
 
 /// @return the runs that were lost with their targets; valid as long as the
 ///         pool
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -16,7 +16,10 @@
     kResendMinRoundTrips = 4, ///< the same in round trips; the longer applies
     kRoundTripDivisor = 8,    ///< a new value has a weight of 1/8
     kStopWaitMs = 200,        ///< for the reply to a stop
-    kStopResendMs = 250,      ///< between two stop calls of a run
+    kStopDoublingLimit = 2,   ///< of the time between two stop calls of a run
+    /// Between two stop calls of a run that are unlikely to help: one was
+    /// answered, or the target does not answer at all.
+    kStopSlowResendMs = 250,
     /// Delay of a task after its first rejection. Short, because most
     /// rejections come from a single target.
     kFirstBackoffMs = 5,
@@ -55,12 +58,20 @@
     pool->run_count--;
 }
 
+/// @return the least time between two identical calls of a run
+static int64_t
+resend_interval_ns(const pool_t *pool)
+{
+    int64_t interval_ns = kResendMinRoundTrips * pool->round_trip_ns;
+    return interval_ns > MS_TO_NS(kResendMinMs) ? interval_ns
+                                                : MS_TO_NS(kResendMinMs);
+}
+
 /// Sends the start call of a run. Starts are idempotent, so the call may be
 /// sent more than once.
 static void
 send_start(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    int64_t resend_ns = kResendMinRoundTrips * pool->round_trip_ns;
     start_call_t call = {.target = &run->target->info,
                          .name = run->name,
                          .payload = run->task->order->spec->payload,
@@ -74,9 +85,7 @@
     run->target->pending_calls++;
     run->resend_due_ns = run->starts_sent == kStartSendLimit
                              ? INT64_MAX
-                             : now_ns + (resend_ns > MS_TO_NS(kResendMinMs)
-                                             ? resend_ns
-                                             : MS_TO_NS(kResendMinMs));
+                             : now_ns + resend_interval_ns(pool);
     pool->ops->start(pool->owner, &call);
 }
 
@@ -133,12 +142,12 @@
                         .accelerators = step->accelerators,
                         .estimate_ms = step->estimate_ms,
                         .started_ns = now_ns,
+                        .end_by_ns = INT64_MAX,
                         .token = target->token,
                         .born_ms = target->info.born_ms,
                         .is_alone = care == kCareAlone};
     strncpy(run->name.job, order->job, sizeof run->name.job - 1);
-    run->lease_until_ms =
-        session_lease_until_ms(target, &pool->limits, now_ns);
+    run->lease_until_ms = lease_grant(target, pool->limits.lease_ms, now_ns);
     task->last_attempt++;
     task->run = run;
     task->state = kTaskPlaced;
@@ -148,7 +157,6 @@
         wait_record_actual(pool, task->order, now_ns);
     }
     link_run(pool, run);
-    session_extend_lease(target, &pool->limits, now_ns);
     if (run->is_alone) {
         // Recorded in advance: this node may end before it learns that the
         // target has crashed.
@@ -161,7 +169,7 @@
 void
 run_free_ended(pool_t *pool, pool_run_t *run)
 {
-    if (!run->is_ended || run->pending_starts > 0 || run->is_stop_pending) {
+    if (!run->is_ended || run->pending_starts > 0 || run->pending_stops > 0) {
         return;
     }
     pool_target_t *target = run->target;
@@ -274,9 +282,17 @@
                         .token = run->target->token,
                         .deadline_ns = now_ns + MS_TO_NS(kStopWaitMs),
                         .run = run};
-    run->is_stop_pending = true;
+    uint32_t doublings = run->stops_sent < kStopDoublingLimit
+                             ? run->stops_sent
+                             : (uint32_t)kStopDoublingLimit;
+    run->stops_sent++;
+    run->pending_stops++;
     run->target->pending_calls++;
-    run->stop_due_ns = now_ns + MS_TO_NS(kStopResendMs);
+    run->stop_due_ns =
+        now_ns +
+        (run->target->session == kSessionUnresponsive || run->target->is_fenced
+             ? MS_TO_NS(kStopSlowResendMs)
+             : resend_interval_ns(pool) << doublings);
     pool->ops->stop(pool->owner, &call);
 }
 
@@ -290,6 +306,14 @@
     run_advance(pool, run, now_ns);
 }
 
+void
+run_orphan(pool_t *pool, pool_run_t *run, int64_t given_up_ns, int64_t now_ns)
+{
+    run->task = NULL;
+    run->end_by_ns = given_up_ns + MS_TO_NS(pool->limits.orphan_ms);
+    run_stop(pool, run, now_ns);
+}
+
 /// Sends the start call again if it is due.
 ///
 /// @return when to check again, or INT64_MAX
@@ -312,7 +336,7 @@
 int64_t
 run_advance(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
-    if (run->is_ended || run->is_stop_pending) {
+    if (run->is_ended) {
         return INT64_MAX;
     }
     if (run->state == kRunStarting) {
@@ -323,7 +347,6 @@
     }
     if (run->stop_due_ns <= now_ns && !run->target->is_dropped) {
         send_stop(pool, run, now_ns);
-        return INT64_MAX;
     }
     return run->stop_due_ns;
 }
@@ -501,12 +524,13 @@
 pool_handle_stop_reply(pool_t *pool, pool_run_t *run,
                        const call_reply_t *reply, int64_t now_ns)
 {
-    run->is_stop_pending = false;
+    run->pending_stops--;
     run->target->pending_calls--;
     bool is_confirmed =
         reply->kind == kReplyDone || reply->kind == kReplyOtherIncarnation;
     if (is_confirmed) {
         run->target->unanswered_count = 0;
+        run->stop_due_ns = now_ns + MS_TO_NS(kStopSlowResendMs);
     }
     if (is_confirmed && run->state == kRunUnconfirmed && !run->is_ended) {
         // The target now rejects a start call that is still in transit, and
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -1,5 +1,5 @@
-/// The session with one target: its clock, its lease, the lists of its runs,
-/// its measured speed and its ejection after failures.
+/// The session with one target: its clock, the lists of its runs, its measured
+/// speed and its ejection after failures.
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,9 +23,7 @@
     kFinalAckMs = 60,   ///< from the last end to the call that acknowledges it
     kListRetryMs = 300, ///< for an unresponsive target, per unanswered call
     kListRetryLimitMs = 2000,
-    kClockDriftPercent = 3,   ///< clocks of targets may drift by 2%
-    kLeaseExpirySlackMs = 20, ///< for a start accepted just before expiry
-    kSlownessSamples = 8,     ///< a new value has a weight of at least 1/8
+    kSlownessSamples = 8, ///< a new value has a weight of at least 1/8
     kMinSlownessPermille = 50,
     /// A run has stalled after this multiple of its expected time and
     /// kStallSlackMs.
@@ -37,29 +35,6 @@
     kEjectLimitMs = 12000,
 };
 
-uint64_t
-session_lease_until_ms(const pool_target_t *target,
-                       const pool_limits_t *limits, int64_t now_ns)
-{
-    int64_t since_ns = now_ns - target->clock_ns;
-    return target->clock_ms + (uint64_t)(since_ns / MS_TO_NS(1)) +
-           limits->lease_ms;
-}
-
-void
-session_extend_lease(pool_target_t *target, const pool_limits_t *limits,
-                     int64_t now_ns)
-{
-    int64_t error_ns = target->clock_error_ns + MS_TO_NS(kLeaseExpirySlackMs) +
-                       (now_ns - target->clock_ns) * kClockDriftPercent / 100;
-    int64_t lease_expiry_ns =
-        now_ns + error_ns +
-        MS_TO_NS(limits->lease_ms) * (100 + kClockDriftPercent) / 100;
-    if (lease_expiry_ns > target->lease_expiry_ns) {
-        target->lease_expiry_ns = lease_expiry_ns;
-    }
-}
-
 void
 session_restart(pool_target_t *target, int64_t now_ns)
 {
@@ -73,11 +48,13 @@
 }
 
 bool
-session_accepts_starts(const pool_target_t *target, int64_t now_ns)
+session_accepts_starts(const pool_t *pool, const pool_target_t *target,
+                       int64_t now_ns)
 {
     return target->session == kSessionReady && !target->is_dropped &&
            !target->is_fenced && !target->info.is_draining &&
-           target->eject_until_ns <= now_ns;
+           target->eject_until_ns <= now_ns &&
+           lease_read_limit_ms(pool, target, now_ns) == pool->limits.lease_ms;
 }
 
 void
@@ -234,27 +211,36 @@
                : MS_TO_NS(kListReplyMs);
 }
 
+/// @return the lease to ask for with a list call; 0: none
+static uint32_t
+choose_lease_ms(pool_t *pool, const pool_target_t *target, int64_t now_ns)
+{
+    uint32_t lease_ms = lease_read_limit_ms(pool, target, now_ns);
+    if (lease_ms < pool->limits.lease_ms) {
+        counter_add(kCounterLeasesWithheld, 1);
+        pool->ops->log(pool->owner, "lease_withheld", "", target->info.id);
+    }
+    return lease_ms;
+}
+
 static void
 send_list(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
-    bool renews_lease =
-        target->run_count > 0 && target->session == kSessionReady;
-    uint32_t wait_ms = renews_lease ? list_wait_ms(pool, now_ns) : 0;
+    bool waits = target->run_count > 0 && target->session == kSessionReady;
+    uint32_t wait_ms = waits ? list_wait_ms(pool, now_ns) : 0;
+    uint32_t lease_ms = waits ? choose_lease_ms(pool, target, now_ns) : 0;
     list_call_t call = {
         .target = &target->info,
         .token = target->token,
         .acked = target->acked,
         .wait_ms = wait_ms,
         .requires_new_connection = target->session == kSessionUnresponsive,
-        .deadline_ns =
-            now_ns + (renews_lease ? MS_TO_NS(wait_ms) +
-                                         list_reply_limit_ns(pool, now_ns)
-                                   : MS_TO_NS(kFirstListReplyMs)),
+        .deadline_ns = now_ns + (waits ? MS_TO_NS(wait_ms) +
+                                             list_reply_limit_ns(pool, now_ns)
+                                       : MS_TO_NS(kFirstListReplyMs)),
         .pool_target = target};
-    if (renews_lease) {
-        call.lease_until_ms =
-            session_lease_until_ms(target, &pool->limits, now_ns);
-        session_extend_lease(target, &pool->limits, now_ns);
+    if (lease_ms > 0) {
+        call.lease_until_ms = lease_grant(target, lease_ms, now_ns);
     }
     target->is_list_pending = true;
     target->list_wait_ms = wait_ms;
@@ -515,44 +501,13 @@
     return INT64_MAX;
 }
 
-/// Ends the runs of an unresponsive or fenced target whose last lease has
-/// certainly expired.
-static void
-end_expired_runs(pool_t *pool, pool_target_t *target, int64_t now_ns)
-{
-    pool_run_t *next;
-    for (pool_run_t *run = target->runs; run != NULL; run = next) {
-        next = run->next;
-        if (run->pending_starts > 0) {
-            continue;
-        }
-        if (target->session == kSessionUnresponsive) {
-            run_lose(pool, run, now_ns);
-        }
-        else {
-            run_end(pool, run, kRunEndLapsed, now_ns);
-        }
-        run_free_ended(pool, run);
-    }
-}
-
 int64_t
 session_advance(pool_t *pool, pool_target_t *target, int64_t now_ns)
 {
-    int64_t due_ns = INT64_MAX;
     if (target->cpu_limit_until_ns <= now_ns) {
         target->cpu_limit_mcores = 0;
     }
-    bool is_unusable =
-        target->session == kSessionUnresponsive || target->is_fenced;
-    if (is_unusable && target->run_count > 0) {
-        if (target->lease_expiry_ns <= now_ns) {
-            end_expired_runs(pool, target, now_ns);
-        }
-        else {
-            due_ns = target->lease_expiry_ns;
-        }
-    }
+    int64_t due_ns = lease_advance(pool, target, now_ns);
     for (pool_run_t *run = target->runs; run != NULL; run = run->next) {
         int64_t run_due_ns = run_advance(pool, run, now_ns);
         int64_t stall_due_ns = stop_stalled(pool, target, run, now_ns);
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -82,11 +82,15 @@
     /// When the target confirmed the start or the stop. The reply to a list
     /// call sent later reflects it.
     int64_t confirmed_ns;
-    int64_t stop_due_ns;     ///< when to send the next stop; 0: not stopping
+    int64_t stop_due_ns; ///< when to send the next stop; 0: not stopping
+    uint32_t stops_sent;
+    uint32_t pending_stops; ///< stop calls without a reply yet
+    /// By when it must have ended, as its order has ended and the caller may
+    /// submit the job again; INT64_MAX while its order is open.
+    int64_t end_by_ns;
     uint32_t starts_sent;    ///< identical start calls sent
     uint32_t pending_starts; ///< start calls without a reply yet
     int64_t resend_due_ns;   ///< when to send the next start call
-    bool is_stop_pending;
     bool is_ended; ///< holds no resources; freed once no call is pending
 };
 
@@ -179,18 +183,30 @@
                                  int64_t now_ns);
 bool pool_is_lossy(const pool_t *pool, int64_t now_ns);
 
+// lease.c
+
+/// Grants a lease now, and records it in lease_expiry_ns.
+///
+/// @return its end on the target's clock
+uint64_t lease_grant(pool_target_t *target, uint32_t lease_ms, int64_t now_ns);
+/// A run whose order has ended must not be kept by the leases that other runs
+/// of its target need.
+///
+/// @return the longest lease that may be granted now; 0: none
+uint32_t lease_read_limit_ms(const pool_t *pool, const pool_target_t *target,
+                             int64_t now_ns);
+/// Ends the runs of a target whose last lease has certainly expired.
+///
+/// @return when to call it next, or INT64_MAX
+int64_t lease_advance(pool_t *pool, pool_target_t *target, int64_t now_ns);
+
 // sessions.c
 
-/// @return the end, on the target's clock, of a lease that is granted now
-uint64_t session_lease_until_ms(const pool_target_t *target,
-                                const pool_limits_t *limits, int64_t now_ns);
-/// Records that a lease is granted now, in lease_expiry_ns.
-void session_extend_lease(pool_target_t *target, const pool_limits_t *limits,
-                          int64_t now_ns);
 /// Starts the session again: the target gets no starts until it has answered a
 /// list call that is sent from now on.
 void session_restart(pool_target_t *target, int64_t now_ns);
-bool session_accepts_starts(const pool_target_t *target, int64_t now_ns);
+bool session_accepts_starts(const pool_t *pool, const pool_target_t *target,
+                            int64_t now_ns);
 /// Frees a dropped target that has no pending calls and no runs.
 void session_free_dropped(pool_t *pool, pool_target_t *target);
 /// Performs the actions that are due on a target and its runs.
@@ -224,6 +240,13 @@
 void run_abandon(pool_t *pool, pool_run_t *run, int64_t now_ns);
 /// Stops a run, as soon as its start call has been answered.
 void run_stop(pool_t *pool, pool_run_t *run, int64_t now_ns);
+/// Stops a run whose order has ended. Even if no stop is answered, it ends
+/// before the caller submits the job again: no lease of its target outlasts
+/// the time that the limits allow.
+///
+/// @param given_up_ns  the earliest time when the caller may have given up
+void run_orphan(pool_t *pool, pool_run_t *run, int64_t given_up_ns,
+                int64_t now_ns);
 int64_t run_advance(pool_t *pool, pool_run_t *run, int64_t now_ns);
 /// Frees an ended run that has no pending calls.
 void run_free_ended(pool_t *pool, pool_run_t *run);
--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -72,7 +72,7 @@
 {
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (!session_accepts_starts(target, now_ns)) {
+        if (!session_accepts_starts(pool, target, now_ns)) {
             continue;
         }
         resources_t available = place_read_free(target);
--- a/tests/functional/test_late_request.c
+++ b/tests/functional/test_late_request.c
@@ -4,7 +4,6 @@
 #include <apr_time.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -29,8 +28,7 @@
     /// Below the threshold for a pause, so that nothing is dropped after it.
     kShortFreezeMs = 300,
     kSettleMs = 400, ///< for starts that must not happen
-    kResponseMs = 5000,
-    kRequestBytes = 1024,
+    kReplyBytes = 1024,
     kFrameHeaderBytes = 4
 };
 
@@ -52,41 +50,6 @@
     return fd;
 }
 
-/// Sends a job over a new connection, without waiting for the response.
-///
-/// @param limit_ms  Request-Deadline
-/// @return the connection
-static int
-send_job(uint32_t node, uint64_t id, uint32_t limit_ms)
-{
-    char text[kRequestBytes];
-    caller_request_t request;
-    fleet_fill_job(&fleet, node, id, kTaskCount, kTaskMs, &request);
-    int size_bytes = snprintf(
-        text, sizeof text,
-        "POST /jobs/%016llx HTTP/1.1\r\nHost: h\r\n"
-        "Request-Deadline: %u\r\nContent-Length: %zu\r\n\r\n%s",
-        (unsigned long long)id, limit_ms, strlen(request.body), request.body);
-    free((char *)request.body);
-    int fd = connect_to(fleet.nodes[node].address, kJobsPort);
-    CU_ASSERT_EQUAL(send(fd, text, (size_t)size_bytes, MSG_NOSIGNAL),
-                    size_bytes);
-    return fd;
-}
-
-/// @return the status of the response, 0 without one
-static uint32_t
-receive_status(int fd, char *out, size_t out_bytes)
-{
-    struct pollfd poll_fd = {.fd = fd, .events = POLLIN};
-    ssize_t size_bytes = poll(&poll_fd, 1, kResponseMs) == 1
-                             ? recv(fd, out, out_bytes - 1, 0)
-                             : 0;
-    out[size_bytes > 0 ? size_bytes : 0] = '\0';
-    const char *space = strchr(out, ' ');
-    return space == NULL ? 0 : (uint32_t)strtoul(space, NULL, 10);
-}
-
 static void
 freeze(uint32_t node)
 {
@@ -107,15 +70,15 @@
     enum { kId = 0x1001, kLimitMs = 600 };
     fleet_start(&fleet, 3, 1, 12);
     freeze(0);
-    int fd = send_job(0, kId, kLimitMs);
+    int fd = fleet_send_job(&fleet, 0, kId, kTaskCount, kTaskMs, kLimitMs);
     sleep_ms(kLimitMs);
     close(fd);
     sleep_ms(kResubmitMs);
-    fd = send_job(1, kId, 60000);
+    fd = fleet_send_job(&fleet, 1, kId, kTaskCount, kTaskMs, 60000);
     sleep_ms(kTaskMs / 3);
     wake(0);
-    char reply[kRequestBytes];
-    CU_ASSERT_EQUAL(receive_status(fd, reply, sizeof reply), 200);
+    char reply[kReplyBytes];
+    CU_ASSERT_EQUAL(fleet_receive_status(fd, reply, sizeof reply), 200);
     close(fd);
     sleep_ms(kSettleMs);
     CU_ASSERT_EQUAL(fleet_read_counter(&fleet, "doubles"), 0);
@@ -129,12 +92,12 @@
 static void
 check_overdue_request(uint64_t id, uint32_t freeze_ms, uint32_t limit_ms)
 {
-    char reply[kRequestBytes];
+    char reply[kReplyBytes];
     freeze(0);
-    int fd = send_job(0, id, limit_ms);
+    int fd = fleet_send_job(&fleet, 0, id, kTaskCount, kTaskMs, limit_ms);
     sleep_ms(freeze_ms);
     wake(0);
-    CU_ASSERT_EQUAL(receive_status(fd, reply, sizeof reply), 503);
+    CU_ASSERT_EQUAL(fleet_receive_status(fd, reply, sizeof reply), 503);
     CU_ASSERT_PTR_NOT_NULL(strstr(reply, "Retry-After"));
     sleep_ms(kSettleMs);
     CU_ASSERT_EQUAL(fleet_read_job_counter(&fleet, id, "starts"), 0);
@@ -167,7 +130,8 @@
     fleet_start(&fleet, 1, 1, 4);
     for (uint32_t i = 0; i < 5; i++) {
         freeze(0);
-        int fd = send_job(0, 0x4001 + i, 60000);
+        int fd =
+            fleet_send_job(&fleet, 0, 0x4001 + i, kTaskCount, kTaskMs, 60000);
         sleep_ms(kShortFreezeMs / 2);
         close(fd);
         sleep_ms(kShortFreezeMs / 2);
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -44,6 +44,7 @@
     char address[64];
     uint32_t dc;
     char mode[16];
+    uint32_t list_count; ///< list calls in mode patchy
     int64_t draining_since_ns;
     int64_t crash_due_ns;   ///< 0: none
     int64_t restart_due_ns; ///< after a crash; 0: none
@@ -399,12 +400,27 @@
     runner->wait_until_ns = clock_deadline_ns(wait_ms);
 }
 
+/// @return whether a runner in its present mode ignores a request
+static bool
+is_ignored(runner_t *runner, const char *path)
+{
+    bool is_patchy = is_mode(runner, "patchy");
+    if (strcmp(path, "/run-stop") == 0 &&
+        (is_patchy || is_mode(runner, "deaf"))) {
+        return true;
+    }
+    if (is_patchy && strcmp(path, "/hold") == 0) {
+        return ++runner->list_count % 2 == 0;
+    }
+    return is_mode(runner, "dark");
+}
+
 static void
 serve(void *owner, server_conn_t *conn, const server_request_t *request)
 {
     runner_t *runner = owner;
     json_object *body = json_tokener_parse(request->body);
-    if (is_mode(runner, "dark") || body == NULL) {
+    if (is_ignored(runner, request->path) || body == NULL) {
         json_object_put(body);
         return;
     }
--- a/tests/standins/runners.h
+++ b/tests/standins/runners.h
@@ -31,8 +31,9 @@
 
 /// Sets the mode of a runner: good, dark (ignores requests and stops renewing
 /// its record), stuck (new runs never finish), failing (runs fail), mute
-/// (handles requests without a response), draining, or again (restarts in mode
-/// good).
+/// (handles requests without a response), deaf (ignores stops), patchy
+/// (ignores stops and every second list call), draining, or again (restarts in
+/// mode good).
 ///
 /// @return false if there is no such runner
 bool runners_set_mode(runners_t *runners, uint32_t number, const char *mode);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -2,10 +2,14 @@
 
 #include <apr_general.h>
 #include <apr_strings.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
@@ -17,7 +21,9 @@
     kStorePort = 7301,
     kProxyControlPort = 7390,
     kRequestTimeoutMs = 2000,
-    kBodyBytes = 512
+    kResponseTimeoutMs = 10000,
+    kBodyBytes = 512,
+    kRequestBytes = 1024
 };
 
 static const char *
@@ -327,6 +333,43 @@
              fleet->nodes[node].address, kJobsPort, (unsigned long long)id);
 }
 
+int
+fleet_send_job(fleet_t *fleet, uint32_t node, uint64_t id, uint32_t task_count,
+               uint32_t task_ms, uint32_t limit_ms)
+{
+    char text[kRequestBytes];
+    caller_request_t request;
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(kJobsPort)};
+    fleet_fill_job(fleet, node, id, task_count, task_ms, &request);
+    int size_bytes = snprintf(
+        text, sizeof text,
+        "POST /jobs/%016llx HTTP/1.1\r\nHost: h\r\n"
+        "Request-Deadline: %u\r\nContent-Length: %zu\r\n\r\n%s",
+        (unsigned long long)id, limit_ms, strlen(request.body), request.body);
+    free((char *)request.body);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, fleet->nodes[node].address, &to.sin_addr);
+    if (connect(fd, (struct sockaddr *)&to, sizeof to) != 0 ||
+        send(fd, text, (size_t)size_bytes, MSG_NOSIGNAL) != size_bytes) {
+        fprintf(stderr, "node %u takes no request\n", node);
+        process_abort();
+    }
+    return fd;
+}
+
+uint32_t
+fleet_receive_status(int fd, char *out, size_t out_bytes)
+{
+    struct pollfd poll_fd = {.fd = fd, .events = POLLIN};
+    ssize_t size_bytes = poll(&poll_fd, 1, kResponseTimeoutMs) == 1
+                             ? recv(fd, out, out_bytes - 1, 0)
+                             : 0;
+    out[size_bytes > 0 ? size_bytes : 0] = '\0';
+    const char *space = strchr(out, ' ');
+    return space == NULL ? 0 : (uint32_t)strtoul(space, NULL, 10);
+}
+
 uint32_t
 fleet_submit_job(fleet_t *fleet, uint32_t node, uint64_t id,
                  uint32_t task_count, uint32_t task_ms)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -85,6 +85,20 @@
                     uint32_t task_count, uint32_t task_ms,
                     caller_request_t *request);
 
+/// Sends a job of equal tasks over a new connection, without waiting for the
+/// response.
+///
+/// @param limit_ms  Request-Deadline
+/// @return the connection
+int fleet_send_job(fleet_t *fleet, uint32_t node, uint64_t id,
+                   uint32_t task_count, uint32_t task_ms, uint32_t limit_ms);
+
+/// Waits for the response on a connection.
+///
+/// @param out  receives what has arrived of it
+/// @return its status, 0 without one
+uint32_t fleet_receive_status(int fd, char *out, size_t out_bytes);
+
 /// Submits a job of equal tasks to a node and waits for the response.
 ///
 /// @return the status, 0 without a complete response
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -8,6 +8,7 @@
     kLatencyNs = 500000,
     kNsPerMs = 1000000,
     kLeaseMs = 1000,
+    kOrphanMs = 1200,
     kCrashDelayMs = 5, ///< from the start of a deadly task to the crash
     kTargetMcores = 32000,
     kTaskMcores = 14000
@@ -106,6 +107,7 @@
 static void
 end_run(sim_t *sim, sim_target_t *target, uint32_t at, run_end_t how)
 {
+    sim->counts.lapsed += how == kRunEndLapsed;
     listed_run_t end = {.name = target->runs[at].name,
                         .end_number = ++target->end_number,
                         .how = how};
@@ -436,6 +438,24 @@
     deliver_reply(sim, event);
 }
 
+/// @return the share of calls like this one that are carried out late
+static uint32_t
+late_permille(const sim_t *sim, const sim_event_t *event)
+{
+    return sim->fault_rates.late_permille +
+           (event->type == kCallStop ? sim->fault_rates.late_stop_permille
+                                     : 0);
+}
+
+/// @return the share of calls like this one whose reply is lost
+static uint32_t
+lost_permille(const sim_t *sim, const sim_event_t *event)
+{
+    return sim->fault_rates.lost_permille +
+           (event->type == kCallList ? sim->fault_rates.lost_list_permille
+                                     : 0);
+}
+
 static void
 deliver_call(sim_t *sim, sim_event_t *event)
 {
@@ -445,7 +465,7 @@
         reschedule_event(sim, event, event->deadline_ns, time_out);
         return;
     }
-    if (draw < sim->fault_rates.late_permille) {
+    if (draw < late_permille(sim, event)) {
         sim_event_t *late = add_event(
             sim,
             sim->now_ns + (2000LL + rng_below(&sim->rng, 10000)) * kNsPerMs,
@@ -461,7 +481,7 @@
         return;
     }
     bool is_lost =
-        draw < sim->fault_rates.late_permille + sim->fault_rates.lost_permille;
+        draw < late_permille(sim, event) + lost_permille(sim, event);
     if (is_lost && event->type == kCallList) {
         reschedule_event(sim, event, event->deadline_ns, time_out);
         return;
@@ -559,8 +579,8 @@
 void
 sim_init(sim_t *sim, uint32_t target_count, uint64_t seed)
 {
-    const pool_limits_t limits = {.lease_ms = kLeaseMs,
-                                  .remote_permille = 1500};
+    const pool_limits_t limits = {
+        .lease_ms = kLeaseMs, .orphan_ms = kOrphanMs, .remote_permille = 1500};
     *sim = (sim_t){.now_ns = 1000LL * 1000 * kNsPerMs,
                    .rng = {.state = seed},
                    .target_count = target_count,
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -45,6 +45,7 @@
     uint32_t outcomes[kOrderOutcomeCount];
     uint32_t in_time; ///< complete within 1.6 times the longest task and 60 ms
     uint32_t starts;
+    uint32_t lapsed; ///< runs that ended with the lease of their target
     uint32_t duplicate_runs;  ///< starts of a task that ran on another target
     uint32_t over_capacity;   ///< starts rejected for lack of resources
     uint32_t rejected_starts; ///< starts rejected due to rejects_starts
@@ -57,6 +58,10 @@
 typedef struct {
     uint32_t lost_permille; ///< the reply is lost; lists are not carried out
     uint32_t late_permille; ///< carried out 2 to 12 s later, without a reply
+    /// Of the stop calls only: carried out 2 to 12 s later, without a reply.
+    uint32_t late_stop_permille;
+    /// Of the list calls only: neither carried out nor answered.
+    uint32_t lost_list_permille;
 } sim_fault_rates_t;
 
 struct sim {
--- a/tests/unit/test_clients.c
+++ b/tests/unit/test_clients.c
@@ -18,6 +18,8 @@
     kShortOrderMs = 60,
     kLongOrderMs = 20000,
     kSettleMs = 100,
+    kTargetBornMs = 1000,
+    kTargetClockMs = 5000,
     /// The owner drops a silent coordinator within 40% of kResubmitMs.
     kSilenceMs = 700
 };
@@ -30,16 +32,20 @@
     conn_t *conn;
     loop_timer_t timer;
     uint32_t settled_count;
-    pool_target_t *listed; ///< target of a list call without a reply
+    pool_target_t *listed;   ///< target of a list call without a reply
+    uint64_t lease_until_ms; ///< in the last list call
+    pool_run_t *started;     ///< run of a start call without a reply
+    run_name_t started_name;
 } fixture_t;
 
 static fixture_t fixture;
 
 static void
-ignore_start(adapter_t *adapter, const start_call_t *call)
+note_start(adapter_t *adapter, const start_call_t *call)
 {
     (void)adapter;
-    (void)call;
+    fixture.started = call->run;
+    fixture.started_name = call->name;
 }
 
 static void
@@ -54,6 +60,7 @@
 {
     (void)adapter;
     fixture.listed = call->pool_target;
+    fixture.lease_until_ms = call->lease_until_ms;
 }
 
 static void
@@ -102,7 +109,7 @@
     (void)name;
 }
 
-static const adapter_ops_t adapter_ops = {.start = ignore_start,
+static const adapter_ops_t adapter_ops = {.start = note_start,
                                           .stop = ignore_stop,
                                           .list = note_list,
                                           .probe = ignore_probe,
@@ -145,6 +152,19 @@
     loop_run(fixture.node->loop);
 }
 
+/// Answers the pending list call.
+static void
+answer_list(const listed_run_t *running, uint32_t running_count)
+{
+    const list_reply_t reply = {.kind = kReplyDone,
+                                .clock_ms = kTargetClockMs,
+                                .born_ms = kTargetBornMs,
+                                .running = running,
+                                .running_count = running_count};
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.listed);
+    node_handle_list_reply(fixture.node, fixture.listed, &reply);
+}
+
 /// Adds a target without runs to the pool and answers its first list call.
 static void
 add_target(node_t *node)
@@ -153,15 +173,12 @@
                                      .address = "127.0.0.1:1",
                                      .service = "s",
                                      .dc = "dc1",
-                                     .born_ms = 1000,
+                                     .born_ms = kTargetBornMs,
                                      .cpu_mcores = 32000,
                                      .memory_mb = 65536};
-    const list_reply_t reply = {
-        .kind = kReplyDone, .clock_ms = 5000, .born_ms = info.born_ms};
     pool_put_target(node->pool, &info, 5, clock_now_ns());
     pool_advance(node->pool, clock_now_ns());
-    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.listed);
-    node_handle_list_reply(node, fixture.listed, &reply);
+    answer_list(NULL, 0);
 }
 
 static void
@@ -231,9 +248,11 @@
 }
 
 static void
-withdraw_order(uint64_t request)
+withdraw_order(uint64_t request, uint32_t age_ms)
 {
-    const withdraw_message_t withdraw = {.request = request};
+    const withdraw_message_t withdraw = {
+        .request = request,
+        .given_up_us = link_clock_stamp_us(clock_now_ns() - MS_TO_NS(age_ms))};
     conn_send(fixture.conn, kMessageWithdraw, &withdraw);
 }
 
@@ -254,7 +273,7 @@
     run_for_ms(kShortOrderMs + kSettleMs);
     CU_ASSERT_EQUAL(fixture.settled_count, 1);
     CU_ASSERT_EQUAL(count_orders(), 1);
-    withdraw_order(0xa2);
+    withdraw_order(0xa2, 0);
     run_for_ms(kSilenceMs);
     CU_ASSERT_EQUAL(count_orders(), 0);
     CU_ASSERT_PTR_NULL(fixture.conn);
@@ -268,13 +287,38 @@
     open_fixture();
     assign_order(0xb1, kLongOrderMs);
     run_for_ms(kSettleMs);
-    withdraw_order(0xb1);
+    withdraw_order(0xb1, 0);
     run_for_ms(kSilenceMs);
     CU_ASSERT_EQUAL(count_orders(), 0);
     CU_ASSERT_PTR_NOT_NULL(fixture.conn);
     close_fixture();
 }
 
+/// The caller gave up some time before the withdrawal arrived: its run must
+/// end that much earlier, by its lease if no stop is answered.
+static void
+test_withdrawal_arrives_late(void)
+{
+    enum { kAgeMs = 500, kOrphanMs = 780 };
+    const call_reply_t done = {.kind = kReplyDone};
+    open_fixture();
+    assign_order(0xc1, kLongOrderMs);
+    run_for_ms(kSettleMs);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(fixture.started);
+    const listed_run_t running = {.name = fixture.started_name};
+    node_handle_start_reply(fixture.node, fixture.started, &done);
+    run_for_ms(1);
+    CU_ASSERT(fixture.lease_until_ms > kTargetClockMs);
+    withdraw_order(0xc1, kAgeMs);
+    run_for_ms(10);
+    CU_ASSERT_EQUAL(count_orders(), 0);
+    answer_list(&running, 1);
+    run_for_ms(1);
+    CU_ASSERT(fixture.lease_until_ms > kTargetClockMs);
+    CU_ASSERT(fixture.lease_until_ms <= kTargetClockMs + kOrphanMs - kAgeMs);
+    close_fixture();
+}
+
 int
 main(void)
 {
@@ -283,6 +327,7 @@
          test_outcome_crosses_withdrawal},
         {"a coordinator without orders is kept",
          test_idle_coordinator_is_kept},
+        {"a withdrawal that arrives late", test_withdrawal_arrives_late},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
--- a/tests/unit/test_losses.c
+++ b/tests/unit/test_losses.c
@@ -104,11 +104,11 @@
     submit(0, "d1", 1);
     run_for_ms(1500);
     // The caller leaves while it is not known yet why the first run was lost.
-    pool_withdraw_order(sim.pools[0], 1, 0xd1, sim.now_ns);
+    pool_withdraw_order(sim.pools[0], 1, 0xd1, sim.now_ns, sim.now_ns);
     for (uint32_t i = 0; i < 5; i++) {
         submit(0, "d1", 1);
         run_for_ms(1500);
-        pool_withdraw_order(sim.pools[0], 1, 0xd1, sim.now_ns);
+        pool_withdraw_order(sim.pools[0], 1, 0xd1, sim.now_ns, sim.now_ns);
         run_for_ms(1300);
     }
     CU_ASSERT_EQUAL(sim.counts.crashes, 2);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -87,7 +87,7 @@
     create_sim(kTargetCount, 1);
     sim_submit_equal(&sim, 0, "a1", 4, 100, 0);
     run_for_ms(20);
-    pool_withdraw_order(sim.pools[0], 1, 0xa1, sim.now_ns);
+    pool_withdraw_order(sim.pools[0], 1, 0xa1, sim.now_ns, sim.now_ns);
     run_for_ms(30);
     CU_ASSERT_EQUAL(count_running(), 0);
     CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeComplete], 0);
@@ -100,7 +100,7 @@
     create_sim(kTargetCount, 1);
     sim_submit_equal(&sim, 0, "a1", 4, 100, 0);
     run_for_ms(20);
-    pool_drop_client(sim.pools[0], 1, sim.now_ns);
+    pool_drop_client(sim.pools[0], 1, sim.now_ns, sim.now_ns);
     run_for_ms(30);
     CU_ASSERT_EQUAL(count_running(), 0);
     sim_clear(&sim);
@@ -435,7 +435,7 @@
             sim_assign_targets(&sim, active_pool, token++);
             run_for_ms(3000);
             sim.owners[1 - active_pool].is_frozen = false;
-            pool_reset(sim.pools[1 - active_pool], sim.now_ns);
+            pool_reset(sim.pools[1 - active_pool], sim.now_ns, sim.now_ns);
         }
         run_for_ms(30);
     }
@@ -473,7 +473,7 @@
     sim_assign_targets(&sim, 1, 6);
     run_for_ms(1000);
     sim.owners[0].is_frozen = false;
-    pool_reset(sim.pools[0], sim.now_ns);
+    pool_reset(sim.pools[0], sim.now_ns, sim.now_ns);
     CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
                     0);
     uint32_t starts = sim.counts.starts;
@@ -493,7 +493,7 @@
     sim.list_reply_delay_ns = MS_TO_NS(30);
     run_for_ms(115); // the run has ended, and the reply is on its way
     CU_ASSERT_EQUAL(count_running(), 0);
-    pool_reset(sim.pools[0], sim.now_ns);
+    pool_reset(sim.pools[0], sim.now_ns, sim.now_ns);
     run_for_ms(25);
     CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
                     0);
@@ -508,7 +508,7 @@
 test_sessions_return_after_pause(void)
 {
     create_sim(kTargetCount, 1);
-    pool_reset(sim.pools[0], sim.now_ns);
+    pool_reset(sim.pools[0], sim.now_ns, sim.now_ns);
     CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
                     0);
     pool_advance(sim.pools[0], sim.now_ns);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -184,5 +184,21 @@
     's/(order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs))/MS_TO_NS(kIdleTimeoutMs)/'
 mutant idle-client test_clients src/node/clients.c \
     's/(order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs))/timeout_ns/'
+mutant lease-of-neighbours test_lease src/pool/lease.c \
+    's/end_by_ns = min_ns(end_by_ns, run->end_by_ns);/(void)run;/'
+mutant lease-of-starts test_lease src/pool/sessions.c \
+    's/lease_read_limit_ms(pool, target, now_ns) == pool->limits.lease_ms;/(void *)pool != NULL;/'
+mutant lease-from-now test_lease src/pool/orders.c \
+    's/end_order(pool, order, heard_ns, now_ns);/end_order(pool, order, now_ns + 0 * heard_ns, now_ns);/'
+mutant lease-from-pause test_lease src/pool/orders.c \
+    's/^        order->deadline_ns = min_ns(order->deadline_ns, paused_ns);/        (void)paused_ns;/'
+mutant expired-orphan test_lease src/pool/lease.c \
+    's/(is_listed \&\& run->task != NULL \&\& run->state == kRunActive)/is_listed/'
+mutant stops-repeated test_lease src/pool/runs.c \
+    's/: resend_interval_ns(pool) << doublings/: MS_TO_NS(kStopSlowResendMs) + 0 * doublings/'
+mutant withdrawal-age test_clients src/node/clients.c \
+    's/now_ns - age_ns, now_ns);/now_ns + 0 * age_ns, now_ns);/'
+mutant unanswered-stop functional_test_unanswered_stop src/pool/runs.c \
+    's/given_up_ns + MS_TO_NS(pool->limits.orphan_ms)/INT64_MAX + 0 * given_up_ns/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
