pool: unknown runs are told by name, not by count

It took them for gone when a target listed no more runs than it had itself. Runs of its own whose starts had gone unanswered hid as many of another owner: the target became ready, and the lease kept the unknown run if its stop went unanswered. On a target that was ready, an unknown run never kept the lease from being renewed.

Evidence: test_lease, 'an unknown run among unconfirmed ones' and 'an unknown run is not kept for known ones', both red before, green now.

Mutants unknown-runs and unknown-run-ready are caught.

--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -299,10 +299,13 @@
 
 /// Stops listed runs that the pool does not know. They were started by an
 /// earlier owner, or by a start call that was carried out late.
-static void
+///
+/// @return whether there are any
+static bool
 stop_unknown_runs(pool_t *pool, pool_target_t *target,
                   const list_reply_t *reply, int64_t now_ns)
 {
+    bool has_unknown_runs = false;
     for (uint32_t i = 0; i < reply->running_count; i++) {
         pool_run_t *known = find_run(target, &reply->running[i].name);
         if (known != NULL && !known->is_ended) {
@@ -315,7 +318,9 @@
         pool->ops->log(pool->owner, "unknown_run_stopped", call.name.job,
                        target->info.id);
         pool->ops->stop(pool->owner, &call);
+        has_unknown_runs = true;
     }
+    return has_unknown_runs;
 }
 
 /// Ends runs that are missing from the reply although, before the list call
@@ -412,12 +417,15 @@
     bool was_not_ready = target->session != kSessionReady;
     apply_ends(pool, target, reply, now_ns);
     end_unlisted_runs(pool, target, reply, now_ns);
-    stop_unknown_runs(pool, target, reply, now_ns);
+    bool has_unknown_runs = stop_unknown_runs(pool, target, reply, now_ns);
     free_ended_runs(pool, target);
     // The loss of a run that is alone was recorded in advance.
     losses_resolve_target(pool->losses, target->info.id, reply->born_ms,
                           !has_run_alone(target), now_ns);
-    bool has_unknown_runs = reply->running_count > target->run_count;
+    if (has_unknown_runs && target->session == kSessionReady) {
+        // Its lease is not renewed before they are gone.
+        target->session = kSessionNew;
+    }
     if (was_not_ready && !has_unknown_runs) {
         target->session = kSessionReady;
         pool->ops->log(pool->owner, "target_ready", "", target->info.id);
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -40,7 +40,9 @@
 create_sim(uint32_t targets, uint64_t seed)
 {
     sim_init(&sim, targets, seed);
-    pool_set_limits(sim.pools[0], &limits);
+    for (uint32_t i = 0; i < kSimPoolCount; i++) {
+        pool_set_limits(sim.pools[i], &limits);
+    }
     sim.work_ns = work_long;
     sim_assign_targets(&sim, 0, 5);
     run_for_ms(50);
@@ -170,6 +172,57 @@
     }
 }
 
+/// Puts a run on a target that its owner does not know.
+static void
+add_unknown_run(const char *job)
+{
+    sim_target_t *target = &sim.targets[0];
+    sim_run_t *run = &target->runs[target->run_count++];
+    *run = (sim_run_t){.name = {.attempt = 1}, .end_ns = INT64_MAX};
+    snprintf(run->name.job, sizeof run->name.job, "%s", job);
+}
+
+/// A run without an order here is not kept for the runs that are known.
+static void
+test_unknown_run_is_not_kept(void)
+{
+    create_sim(1, 1);
+    submit("a1", 1);
+    run_for_ms(100);
+    sim.fault_rates.late_stop_permille = kAllPermille;
+    add_unknown_run("f1");
+    run_for_ms(limits.lease_ms + 200);
+    CU_ASSERT_EQUAL(count_running("f1"), 0);
+    run_for_ms(100);
+    CU_ASSERT_EQUAL(count_running("a1"), 1);
+    sim_clear(&sim);
+}
+
+/// Another owner started a run before this one got a higher token. As many
+/// runs of this owner, whose starts went unanswered, must not make it take the
+/// other one's for its own.
+static void
+test_unknown_run_among_unconfirmed_ones(void)
+{
+    create_sim(1, 1);
+    sim.fault_rates.late_permille = kAllPermille;
+    submit("a1", 1);
+    run_for_ms(150);
+    sim.fault_rates.late_permille = 0;
+    sim.fault_rates.late_stop_permille = kAllPermille;
+    run_for_ms(100);
+    sim_assign_targets(&sim, 1, 6);
+    run_for_ms(20);
+    sim_submit_equal(&sim, 1, "b1", 1, kLongMs, 0);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(count_running("b1"), 1);
+    sim_assign_targets(&sim, 0, 7);
+    sim.owners[1].is_frozen = true;
+    run_for_ms(1000);
+    CU_ASSERT_EQUAL(count_running("b1"), 0);
+    sim_clear(&sim);
+}
+
 /// One of the repeated stops is answered in time: the other run goes on.
 static void
 test_neighbour_survives_late_answer(void)
@@ -325,6 +378,10 @@
          test_time_counts_from_last_sign},
         {"the time counts from the beginning of a pause",
          test_time_counts_from_pause},
+        {"an unknown run is not kept for known ones",
+         test_unknown_run_is_not_kept},
+        {"an unknown run among unconfirmed ones",
+         test_unknown_run_among_unconfirmed_ones},
         {"a stop that is answered late spares the other run",
          test_neighbour_survives_late_answer},
         {"an unconfirmed run ends with the lease",
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -196,6 +196,10 @@
     's/(is_listed \&\& run->task != NULL \&\& run->state == kRunActive)/is_listed/'
 mutant stops-repeated test_lease src/pool/runs.c \
     's/: resend_interval_ns(pool) << doublings/: MS_TO_NS(kStopSlowResendMs) + 0 * doublings/'
+mutant unknown-runs test_lease src/pool/sessions.c \
+    's/^        has_unknown_runs = true;/        has_unknown_runs = reply->running_count > target->run_count;/'
+mutant unknown-run-ready test_lease src/pool/sessions.c \
+    's/if (has_unknown_runs \&\& target->session == kSessionReady) {/if (false) {/'
 mutant withdrawal-age test_clients src/node/clients.c \
     's/now_ns - age_ns, now_ns);/now_ns + 0 * age_ns, now_ns);/'
 mutant unanswered-stop functional_test_unanswered_stop src/pool/runs.c \
