node: the silence of a coordinator counts from when it sent its last message

The time counted from when the last message was read, so that a message that the network had held back, or that waited in the socket while the owner was paused for less than 450 ms, added its delay. Drop and lease together then took longer than resubmit_ms.

Evidence: test_clients, 'the last message of a coordinator arrives late', red before (the order was kept), green now. Messages state the sender's clock already, and links know their age (net/link_clock); the time of the last sign also goes to the pool, which bounds the runs by it. Mutant last-message-age is caught.

--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -26,6 +26,9 @@
     uint64_t number;      ///< identifies the client to the pool
     follower_t *follower; ///< NULL if it does not follow this node's targets
     link_clock_t clock;   ///< of the coordinator
+    /// When the coordinator sent the latest of its messages, as far as the
+    /// clock of the link tells.
+    int64_t heard_ns;
 };
 
 /// @return the number of unsettled orders. The pool is the only one to know:
@@ -37,14 +40,27 @@
     return pool_count_client_orders(client->node->pool, client->number);
 }
 
+/// Records that a message of a coordinator has arrived.
+///
+/// @param sent_us  on the coordinator's clock
+/// @return how long ago it was sent
+static int64_t
+record_message(client_t *client, uint64_t sent_us, int64_t now_ns)
+{
+    int64_t age_ns = link_clock_read_age_ns(&client->clock, sent_us, now_ns);
+    if (now_ns - age_ns > client->heard_ns) {
+        client->heard_ns = now_ns - age_ns;
+    }
+    return age_ns;
+}
+
 /// Takes the delay of an order from the time that it has left.
 ///
 /// @return false if its coordinator has given it up by now
 static bool
 apply_delay(client_t *client, assign_message_t *assign, int64_t now_ns)
 {
-    int64_t age_ns =
-        link_clock_read_age_ns(&client->clock, assign->sent_us, now_ns);
+    int64_t age_ns = record_message(client, assign->sent_us, now_ns);
     if (age_ns >= coordinator_link_timeout_ns(client->node)) {
         log_event("order_late", "job=%s guest=%llu age_ms=%lld",
                   assign->order.job, (unsigned long long)client->number,
@@ -140,7 +156,7 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &ping_message_desc, arena, &ping, &err)) {
-        link_clock_read_age_ns(&client->clock, ping.sent_us, clock_now_ns());
+        record_message(client, ping.sent_us, clock_now_ns());
         pool_status_t status =
             pool_read_status(client->node->pool, clock_now_ns());
         pong_message_t pong = {.number = ping.number,
@@ -160,7 +176,7 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &hello_message_desc, arena, &hello, &err)) {
-        link_clock_read_age_ns(&client->clock, hello.sent_us, clock_now_ns());
+        record_message(client, hello.sent_us, clock_now_ns());
     }
     arena_destroy(arena);
     control_send_hello(client->conn, &client->node->control.hello);
@@ -209,7 +225,7 @@
         client->next->prev = client->prev;
     }
     target_feed_remove_follower(node, client->follower);
-    pool_drop_client(node->pool, client->number, conn->last_received_ns,
+    pool_drop_client(node->pool, client->number, client->heard_ns,
                      clock_now_ns());
     node_schedule_advance(node);
     loop_free_later(node->loop, client, free);
@@ -224,8 +240,10 @@
 {
     node_t *node = owner;
     client_t *client = calloc(1, sizeof *client);
-    *client = (client_t){
-        .next = node->clients, .node = node, .number = ++node->client_number};
+    *client = (client_t){.next = node->clients,
+                         .node = node,
+                         .number = ++node->client_number,
+                         .heard_ns = clock_now_ns()};
     if (node->clients != NULL) {
         node->clients->prev = client;
     }
@@ -267,7 +285,7 @@
         next = client->next;
         uint32_t order_count = count_orders(client);
         int64_t deadline_ns =
-            client->conn->last_received_ns +
+            client->heard_ns +
             (order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs));
         if (deadline_ns <= now_ns) {
             log_event("guest_silent", "guest=%llu orders=%u",
--- a/tests/unit/test_clients.c
+++ b/tests/unit/test_clients.c
@@ -294,6 +294,31 @@
     close_fixture();
 }
 
+static void
+send_ping(uint32_t age_ms)
+{
+    const ping_message_t ping = {
+        .number = 1,
+        .sent_us = link_clock_stamp_us(clock_now_ns() - MS_TO_NS(age_ms))};
+    conn_send(fixture.conn, kMessagePing, &ping);
+}
+
+/// The last message of a silent coordinator was delayed: its silence counts
+/// from when the message was sent.
+static void
+test_last_message_arrives_late(void)
+{
+    enum { kPingMs = 450, kAgeMs = 300 };
+    open_fixture();
+    assign_order(0xd1, kLongOrderMs);
+    run_for_ms(kPingMs);
+    CU_ASSERT_EQUAL(count_orders(), 1);
+    send_ping(kAgeMs);
+    run_for_ms(kSilenceMs - kAgeMs);
+    CU_ASSERT_EQUAL(count_orders(), 0);
+    close_fixture();
+}
+
 /// The caller gave up some time before the withdrawal arrived: its run must
 /// end that much earlier, by its lease if no stop is answered.
 static void
@@ -327,6 +352,8 @@
          test_outcome_crosses_withdrawal},
         {"a coordinator without orders is kept",
          test_idle_coordinator_is_kept},
+        {"the last message of a coordinator arrives late",
+         test_last_message_arrives_late},
         {"a withdrawal that arrives late", test_withdrawal_arrives_late},
         CU_TEST_INFO_NULL,
     };
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -200,6 +200,8 @@
     's/^        has_unknown_runs = true;/        has_unknown_runs = reply->running_count > target->run_count;/'
 mutant unknown-run-ready test_lease src/pool/sessions.c \
     's/if (has_unknown_runs \&\& target->session == kSessionReady) {/if (false) {/'
+mutant last-message-age test_clients src/node/clients.c \
+    's/client->heard_ns = now_ns - age_ns;/client->heard_ns = now_ns;/'
 mutant withdrawal-age test_clients src/node/clients.c \
     's/now_ns - age_ns, now_ns);/now_ns + 0 * age_ns, now_ns);/'
 mutant unanswered-stop functional_test_unanswered_stop src/pool/runs.c \
