loop, node: SIGHUPs in quick succession no longer hang the loop

Cause: loop_post of a callback that was still in the queue made it its own successor. Besides, the settings of each reload stayed allocated, and the readiness check answered 200 while the loop hung.

Mutants second-post, settings-copied and stalled-loop are caught. All other calls of loop_post were read: none posts a queued callback.

--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -124,6 +124,8 @@
                 &loop->callback_head, &loop->callback_tail)) != NULL) {
         loop_callback_t *callback =
             caa_container_of(node, loop_callback_t, node);
+        // Reads the value of the last post, and so sees what came before it.
+        atomic_exchange(&callback->is_queued, false);
         callback->run(callback);
     }
 }
@@ -174,6 +176,9 @@
 void
 loop_post(loop_t *loop, loop_callback_t *callback)
 {
+    if (atomic_exchange(&callback->is_queued, true)) {
+        return;
+    }
     cds_wfcq_node_init(&callback->node);
     cds_wfcq_enqueue(&loop->callback_head, &loop->callback_tail,
                      &callback->node);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,6 +5,7 @@
 
 #include <apr_network_io.h>
 #include <apr_poll.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <urcu/wfcqueue.h>
@@ -31,9 +32,11 @@
     void *owner;
 } loop_timer_t;
 
-/// A callback that another thread posts to run on the loop's thread.
+/// A callback that another thread posts to run on the loop's thread. Zeroed
+/// but for `run` before its first post.
 typedef struct loop_callback {
     struct cds_wfcq_node node;
+    _Atomic bool is_queued;
     void (*run)(struct loop_callback *callback);
 } loop_callback_t;
 
@@ -58,8 +61,10 @@
 /// loop's thread.
 void loop_stop(loop_t *loop);
 
-/// Queues a callback to run on the loop's thread. Safe from any thread. The
-/// callback belongs to the loop until it runs.
+/// Queues a callback to run on the loop's thread. Safe from any thread. A
+/// callback that is in the queue already is not added again: it runs once for
+/// all posts before that run, and sees what their threads did before. The
+/// callback belongs to the loop until it runs; `run` may post or free it.
 void loop_post(loop_t *loop, loop_callback_t *callback);
 
 /// Watches a socket with a set of kReady bits; 0 ends the watch.
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -180,12 +180,22 @@
               node->queues == NULL ? 0 : node->queues->version);
 }
 
+bool
+node_is_ready(const node_t *node)
+{
+    return atomic_load(&node->is_ready) &&
+           clock_now_ns() < atomic_load(&node->ready_until_ns);
+}
+
 static void
 on_tick(loop_timer_t *timer)
 {
     node_t *node = timer->owner;
-    update_gauges(node, node_update_now_ns(node));
+    int64_t now_ns = node_update_now_ns(node);
+    update_gauges(node, now_ns);
     update_ready(node);
+    atomic_store(&node->ready_until_ns,
+                 now_ns + MS_TO_NS(node->settings->ready_stall_ms));
     if (node->stop_ns != 0) {
         node_schedule_advance(node);
     }
@@ -274,8 +284,18 @@
                   "needs a restart\"");
         return;
     }
-    node->settings = settings;
-    const pool_limits_t limits = owner_limits(settings);
+    node_settings_t changed = *settings;
+    changed.name = old->name;
+    changed.dc = old->dc;
+    changed.dcs = old->dcs;
+    changed.dcs_count = old->dcs_count;
+    changed.address = old->address;
+    changed.callers = old->callers;
+    changed.ready = old->ready;
+    changed.store = old->store;
+    node->changed_settings = changed;
+    node->settings = &node->changed_settings;
+    const pool_limits_t limits = owner_limits(node->settings);
     pool_set_limits(node->pool, &limits);
     log_event("settings_taken", "hold_limit_ms=%u resubmit_ms=%u",
               settings->hold_limit_ms, settings->resubmit_ms);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,7 +66,8 @@
 } dc_group_t;
 
 struct node {
-    const node_settings_t *settings;
+    const node_settings_t *settings;  ///< in force
+    node_settings_t changed_settings; ///< storage of changed ones
     arena_t *arena;
     loop_t *loop;
     const adapter_ops_t *adapter_ops;
@@ -76,7 +77,9 @@
     char member_id[kMemberIdBytes]; ///< unique for each process of
                                     ///< a node; used in groups
     queue_table_t *queues; ///< RCU; NULL before the first configuration
-    _Atomic bool is_ready; ///< reported to the load balancer
+    _Atomic bool is_ready;
+    /// Until when is_ready holds: the loop moves it while it makes progress.
+    _Atomic int64_t ready_until_ns;
     _Atomic bool is_draining;
     _Atomic bool is_closed;     ///< refuses all jobs; about to end
     _Atomic uint32_t job_count; ///< callers' jobs not settled yet
@@ -151,11 +154,14 @@
 /// @return when a stopping node answers the remaining jobs and ends
 int64_t node_stop_limit_ns(const node_t *node);
 
+/// @return whether the load balancer may send requests here. Safe from any
+///         thread.
+bool node_is_ready(const node_t *node);
+
 /// Applies changed settings. They are ignored as a whole when they change the
 /// name, the address for nodes or for callers, the peer port or
-/// partition_count, which need a restart. Loop thread only.
-///
-/// @param settings  must last as long as the node
+/// partition_count. Other changes of names and addresses need a restart, too;
+/// the rest applies without them. Loop thread only.
 void node_apply_settings(node_t *node, const node_settings_t *settings);
 
 /// Replaces the table of queues, unless the given one is not newer; takes it
--- a/tests/unit/test_clients.c
+++ b/tests/unit/test_clients.c
@@ -8,6 +8,7 @@
 #include "net/link_clock.h"
 #include "net/listener.h"
 #include "runtime/clock.h"
+#include "support/adapter_stub.h"
 #include "support/process.h"
 #include "support/suite.h"
 
@@ -39,6 +40,7 @@
 } fixture_t;
 
 static fixture_t fixture;
+static adapter_ops_t adapter_ops;
 
 static void
 note_start(adapter_t *adapter, const start_call_t *call)
@@ -48,13 +50,6 @@
     fixture.started_name = call->name;
 }
 
-static void
-ignore_stop(adapter_t *adapter, const stop_call_t *call)
-{
-    (void)adapter;
-    (void)call;
-}
-
 static void
 note_list(adapter_t *adapter, const list_call_t *call)
 {
@@ -63,62 +58,6 @@
     fixture.lease_until_ms = call->lease_until_ms;
 }
 
-static void
-ignore_join(adapter_t *adapter, const char *dc, const char *member_id,
-            uint64_t generation)
-{
-    (void)adapter;
-    (void)dc;
-    (void)member_id;
-    (void)generation;
-}
-
-static void
-ignore_leave(adapter_t *adapter, const char *dc, const char *member_id)
-{
-    (void)adapter;
-    (void)dc;
-    (void)member_id;
-}
-
-static void
-ignore_probe(adapter_t *adapter, const pool_target_info_t *target)
-{
-    (void)adapter;
-    (void)target;
-}
-
-static void
-ignore_reads(adapter_t *adapter, target_reads_t reads)
-{
-    (void)adapter;
-    (void)reads;
-}
-
-static void
-ignore_record(adapter_t *adapter, const node_record_t *record)
-{
-    (void)adapter;
-    (void)record;
-}
-
-static void
-ignore_deletion(adapter_t *adapter, const char *name)
-{
-    (void)adapter;
-    (void)name;
-}
-
-static const adapter_ops_t adapter_ops = {.start = note_start,
-                                          .stop = ignore_stop,
-                                          .list = note_list,
-                                          .probe = ignore_probe,
-                                          .join = ignore_join,
-                                          .leave = ignore_leave,
-                                          .set_target_reads = ignore_reads,
-                                          .publish_record = ignore_record,
-                                          .delete_record = ignore_deletion};
-
 static void
 on_message(conn_t *conn, uint32_t type, bytes_t body)
 {
@@ -200,6 +139,9 @@
                                  .hold_limit_ms = 1000,
                                  .partition_count = 4};
     fixture = (fixture_t){.node = node_create(&settings, arena)};
+    adapter_ops = adapter_stub_ops;
+    adapter_ops.start = note_start;
+    adapter_ops.list = note_list;
     CU_ASSERT_FATAL(node_open(fixture.node, &adapter_ops, NULL, &err));
     add_target(fixture.node);
     fixture.conn = conn_connect(fixture.node->loop, NULL, address, kPeerPort,
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -206,5 +206,11 @@
     's/now_ns - age_ns, now_ns);/now_ns + 0 * age_ns, now_ns);/'
 mutant unanswered-stop functional_test_unanswered_stop src/pool/runs.c \
     's/given_up_ns + MS_TO_NS(pool->limits.orphan_ms)/INT64_MAX + 0 * given_up_ns/'
+mutant second-post test_loop src/net/loop.c \
+    's/if (atomic_exchange(&callback->is_queued, true)) {/if (false) {/'
+mutant settings-copied test_node src/node/node.c \
+    's/^    changed.name = old->name;//'
+mutant stalled-loop test_node src/node/node.c \
+    's/clock_now_ns() < atomic_load(&node->ready_until_ns);/true;/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
