--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -333,28 +333,38 @@
              fleet->nodes[node].address, kJobsPort, (unsigned long long)id);
 }
 
-int
-fleet_send_job(fleet_t *fleet, uint32_t node, uint64_t id, uint32_t task_count,
-               uint32_t task_ms, uint32_t limit_ms)
+void
+fleet_pipeline_job(fleet_t *fleet, int fd, uint64_t id, uint32_t task_count,
+                   uint32_t task_ms, uint32_t limit_ms)
 {
     char text[kRequestBytes];
     caller_request_t request;
-    struct sockaddr_in to = {.sin_family = AF_INET,
-                             .sin_port = htons(kJobsPort)};
-    fleet_fill_job(fleet, node, id, task_count, task_ms, &request);
+    fleet_fill_job(fleet, 0, id, task_count, task_ms, &request);
     int size_bytes = snprintf(
         text, sizeof text,
         "POST /jobs/%016llx HTTP/1.1\r\nHost: h\r\n"
         "Request-Deadline: %u\r\nContent-Length: %zu\r\n\r\n%s",
         (unsigned long long)id, limit_ms, strlen(request.body), request.body);
     free((char *)request.body);
+    if (send(fd, text, (size_t)size_bytes, MSG_NOSIGNAL) != size_bytes) {
+        fprintf(stderr, "a connection takes no request\n");
+        process_abort();
+    }
+}
+
+int
+fleet_send_job(fleet_t *fleet, uint32_t node, uint64_t id, uint32_t task_count,
+               uint32_t task_ms, uint32_t limit_ms)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(kJobsPort)};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     inet_pton(AF_INET, fleet->nodes[node].address, &to.sin_addr);
-    if (connect(fd, (struct sockaddr *)&to, sizeof to) != 0 ||
-        send(fd, text, (size_t)size_bytes, MSG_NOSIGNAL) != size_bytes) {
-        fprintf(stderr, "node %u takes no request\n", node);
+    if (connect(fd, (struct sockaddr *)&to, sizeof to) != 0) {
+        fprintf(stderr, "node %u takes no connection\n", node);
         process_abort();
     }
+    fleet_pipeline_job(fleet, fd, id, task_count, task_ms, limit_ms);
     return fd;
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -93,6 +93,12 @@
 int fleet_send_job(fleet_t *fleet, uint32_t node, uint64_t id,
                    uint32_t task_count, uint32_t task_ms, uint32_t limit_ms);
 
+/// Sends one more job on a connection, without waiting for the response to the
+/// one before.
+void fleet_pipeline_job(fleet_t *fleet, int fd, uint64_t id,
+                        uint32_t task_count, uint32_t task_ms,
+                        uint32_t limit_ms);
+
 /// Waits for the response on a connection.
 ///
 /// @param out  receives what has arrived of it
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -212,5 +212,9 @@
     's/^    changed.name = old->name;//'
 mutant stalled-loop test_node src/node/node.c \
     's/clock_now_ns() < atomic_load(&node->ready_until_ns);/true;/'
+mutant pipelined-check functional_test_pipelined platform/http_exchange.c \
+    's/^        loop_timer_set(loop, &watch->check_timer,/        (void)(loop,/'
+mutant close-behind-data functional_test_pipelined src/httpd/arrival.c \
+    's/tcp.tcpi_state != TCP_ESTABLISHED/tcp.tcpi_state == TCP_CLOSE/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
