node: DELETE cancels a job, wherever it is

Cause: DELETE was answered without a look. 'No such job' was said of the fleet by a node that had asked nobody, not even itself.

Change: the node cancels the job itself and asks all others (two messages a node); owners refuse the job's orders for 15 s, so that a submission on its way starts nothing. 200 if a node had the job, 410 if none has and all owners have said so, 503 with Retry-After if an owner does not answer within 1 s. The POST is answered with the state 'cancelled'.

Mutants cancel-asks-nodes, cancel-needs-owners, cancelled-before and cancelled-queue are caught.

--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -6,6 +6,7 @@
 #include "base/units.h"
 #include "codec/pack.h"
 #include "net/link_clock.h"
+#include "node/cancel.h"
 #include "node/coordinator.h"
 #include "node/target_feed.h"
 #include "runtime/clock.h"
@@ -182,12 +183,35 @@
     control_send_hello(client->conn, &client->node->control.hello);
 }
 
+/// Handles a request of another node to cancel a job.
+static void
+handle_cancel_job(client_t *client, bytes_t body)
+{
+    cancel_job_message_t message;
+    error_info_t err = {0};
+    arena_t *arena = arena_create();
+    if (pack_read_message(body, &cancel_job_message_desc, arena, &message,
+                          &err)) {
+        job_cancelled_message_t reply = {
+            .is_found = cancel_here(client->node, message.queue, message.job)};
+        conn_send(client->conn, kMessageJobCancelled, &reply);
+    }
+    else {
+        log_event("bad_message", "reason=\"%s\"", err.text);
+        conn_close(client->conn);
+    }
+    arena_destroy(arena);
+}
+
 typedef void (*handler_t)(client_t *client, bytes_t body);
 
 static const handler_t handlers[kMessageCount] = {
-    [kMessageHello] = handle_hello,       [kMessageAssign] = handle_assign,
-    [kMessageWithdraw] = handle_withdraw, [kMessageFollow] = handle_follow,
+    [kMessageHello] = handle_hello,
+    [kMessageAssign] = handle_assign,
+    [kMessageWithdraw] = handle_withdraw,
+    [kMessageFollow] = handle_follow,
     [kMessagePing] = handle_ping,
+    [kMessageCancelJob] = handle_cancel_job,
 };
 
 static void
--- a/src/node/coordinator.c
+++ b/src/node/coordinator.c
@@ -236,6 +236,23 @@
     settle_job(job, kOrderOutcomeLost, kErrorKindCancelled, 0);
 }
 
+bool
+coordinator_cancel_job(node_t *node, const char *queue, const char *job)
+{
+    bool is_found = false;
+    caller_job_t *next;
+    for (caller_job_t *at = node->jobs; at != NULL; at = next) {
+        next = at->next;
+        if (strcmp(at->order.job, job) == 0 &&
+            strcmp(at->order.queue, queue) == 0) {
+            is_found = true;
+            withdraw_job(at, clock_now_ns());
+            settle_job(at, kOrderOutcomeFailed, kErrorKindCancelled, 0);
+        }
+    }
+    return is_found;
+}
+
 static caller_job_t *
 find_job(node_t *node, uint64_t request, const peer_t *peer)
 {
--- a/src/node/coordinator.h
+++ b/src/node/coordinator.h
@@ -40,6 +40,11 @@
 /// node by then. Loop thread only.
 void coordinator_submit_job(caller_job_t *job);
 
+/// Withdraws and settles as cancelled the jobs of that name.
+///
+/// @return whether there was one
+bool coordinator_cancel_job(node_t *node, const char *queue, const char *job);
+
 /// Withdraws and settles a job whose caller has disconnected. Loop thread
 /// only.
 void coordinator_abandon_job(caller_job_t *job);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "base/units.h"
+#include "node/cancel.h"
 #include "node/catalog.h"
 #include "node/clients.h"
 #include "node/coordinator.h"
@@ -42,6 +43,7 @@
     coordinator_mark_all_jobs_lost(node, now_ns - gap_ns);
     pool_reset(node->pool, now_ns - gap_ns, now_ns);
     owner_handle_pause(node, now_ns);
+    cancel_end_all(node);
     clients_close_all(node);
     peers_close_all(node);
 }
@@ -105,6 +107,7 @@
         (is_past_limit || may_end(node, &status, now_ns))) {
         atomic_store(&node->is_closed, true);
         coordinator_mark_all_jobs_lost(node, now_ns);
+        cancel_end_all(node);
         owner_leave_all(node);
         node->end_ns = now_ns + (int64_t)kReplyFlushMs * kNsPerMs;
     }
@@ -122,6 +125,7 @@
 {
     int64_t now_ns = node_update_now_ns(node);
     int64_t due_ns = coordinator_advance(node, now_ns);
+    due_ns = min_ns(due_ns, cancel_advance(node, now_ns));
     due_ns = min_ns(due_ns, clients_advance(node, now_ns));
     due_ns = min_ns(due_ns, pool_advance(node->pool, now_ns));
     due_ns = min_ns(due_ns, peers_advance(node, now_ns));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -30,6 +30,7 @@
 typedef struct node node_t;
 typedef struct peer peer_t;
 typedef struct caller_job caller_job_t;
+typedef struct cancellation cancellation_t;
 typedef struct client client_t;
 typedef struct liveness liveness_t;
 typedef struct target_feed target_feed_t;
@@ -111,9 +112,10 @@
     uint64_t client_number; ///< of the last connection accepted
     liveness_t *liveness;
     caller_job_t *jobs;
-    uint64_t request_number; ///< of the last order sent
-    loop_timer_t due_timer;  ///< runs the next call of advance
-    loop_timer_t tick_timer; ///< periodic
+    cancellation_t *cancellations; ///< without a result yet
+    uint64_t request_number;       ///< of the last order sent
+    loop_timer_t due_timer;        ///< runs the next call of advance
+    loop_timer_t tick_timer;       ///< periodic
     loop_deferred_t advance;
     pause_t pause;   ///< beats with each update of the clock by the loop
     int64_t stop_ns; ///< when the stop began; 0: not stopping
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -320,6 +320,10 @@
     added->client = client;
     added->request = request;
     create_tasks(added);
+    if (cancelled_has(pool->cancelled, order->queue, order->job, now_ns)) {
+        reject_order(pool, added, kOrderOutcomeFailed, kErrorKindCancelled, 0);
+        return;
+    }
     if (has_given_up_task(pool, added, now_ns)) {
         record_given_up(pool, added);
         reject_order(pool, added, kOrderOutcomeFailed, kErrorKindTargetCrashed,
@@ -352,6 +356,20 @@
     }
 }
 
+bool
+pool_cancel_job(pool_t *pool, const char *queue, const char *job,
+                int64_t now_ns)
+{
+    pool_order_t *order = find_order(pool, job);
+    bool is_found = order != NULL && strcmp(order->spec->queue, queue) == 0;
+    cancelled_add(pool->cancelled, queue, job, now_ns);
+    if (is_found) {
+        order_settle(pool, order, kOrderOutcomeFailed, kErrorKindCancelled, 0,
+                     now_ns);
+    }
+    return is_found;
+}
+
 void
 pool_drop_client(pool_t *pool, uint64_t client, int64_t heard_ns,
                  int64_t now_ns)
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -36,7 +36,8 @@
                      .arena = arena,
                      .targets = apr_hash_make(arena),
                      .forecast = forecast_create(),
-                     .losses = losses_create()};
+                     .losses = losses_create(),
+                     .cancelled = cancelled_create()};
     wait_init(pool);
     return pool;
 }
@@ -67,6 +68,7 @@
     }
     forecast_destroy(pool->forecast);
     losses_destroy(pool->losses);
+    cancelled_destroy(pool->cancelled);
     arena_destroy(pool->arena);
     free(pool);
 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -200,6 +200,13 @@
 void pool_withdraw_order(pool_t *pool, uint64_t client, uint64_t request,
                          int64_t given_up_ns, int64_t now_ns);
 
+/// Cancels a job: its order fails, and later ones of it are refused for some
+/// time.
+///
+/// @return whether it had an order here
+bool pool_cancel_job(pool_t *pool, const char *queue, const char *job,
+                     int64_t now_ns);
+
 /// Stops all orders of a client that is unreachable. Reports no results.
 ///
 /// @param heard_ns  when the client was last known to be reachable
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -7,6 +7,7 @@
 
 #include "base/arena.h"
 #include "base/units.h"
+#include "pool/cancelled.h"
 #include "pool/forecast.h"
 #include "pool/losses.h"
 #include "pool/pool.h"
@@ -165,6 +166,7 @@
     uint32_t run_count;
     forecast_t *forecast;
     losses_t *losses;
+    cancelled_t *cancelled;
     /// Mean ratio of actual to estimated waits, by priority.
     uint32_t wait_correction_permille[kWaitPriorities];
     int64_t round_trip_ns;  ///< smoothed time from a start call to its reply
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -216,5 +216,13 @@
     's/^        loop_timer_set(loop, &watch->check_timer,/        (void)(loop,/'
 mutant close-behind-data functional_test_pipelined src/httpd/arrival.c \
     's/tcp.tcpi_state != TCP_ESTABLISHED/tcp.tcpi_state == TCP_CLOSE/'
+mutant cancel-asks-nodes functional_test_cancel src/node/cancel.c \
+    's/if (!member->is_self) {/if (member->is_self \&\& !has_room) {/'
+mutant cancel-needs-owners functional_test_cancel src/node/cancel.c \
+    's/if (question->is_required \&\& !question->is_answered) {/if (false) {/'
+mutant cancelled-before functional_test_cancel src/pool/orders.c \
+    's/^    cancelled_add(pool->cancelled, queue, job, now_ns);//'
+mutant cancelled-queue test_cancelled src/pool/orders.c \
+    's/order != NULL \&\& strcmp(order->spec->queue, queue) == 0;/order != NULL;/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
