--- a/model/check.sh
+++ b/model/check.sh
@@ -64,7 +64,7 @@
 done
 expect_valid owner owner.pml
 for mutant in M_NO_LEASE_WAIT M_EARLY_RESUBMIT M_NO_START_DEADLINE \
-    M_NO_LINK_TIMEOUT M_NO_FREEZE_CHECK; do
+    M_NO_LINK_TIMEOUT M_NO_FREEZE_CHECK M_NEIGHBOUR_LEASE; do
     expect_caught owner owner.pml $mutant
 done
 expect_valid job job.pml
--- a/model/owner.pml
+++ b/model/owner.pml
@@ -1,7 +1,8 @@
 /*
  * Ownership of targets: one task of one job, two owners, two targets. Covers
- * grants, fencing tokens, leases, late starts, lost answers, a coordinator that
- * cannot be reached, frozen and killed processes, and a caller that resubmits.
+ * grants, fencing tokens, leases, late starts, lost answers, stops that are
+ * lost, other runs that need the lease of a target, a coordinator that cannot be
+ * reached, frozen and killed processes, and a caller that resubmits.
  * The task must never run on both targets at once.
  *
  * Time passes in ticks. All clocks agree: the code adds the drift of real
@@ -42,6 +43,10 @@
 byte owner_lease_left[2]; /* ticks until the last lease has certainly expired */
 byte silent_ticks[2];     /* ticks since data came from the coordinator */
 bool is_link_down[2];     /* nothing arrives from the coordinator */
+/* A run whose order has ended and whose stop may have been lost. */
+bool has_orphan[2];
+byte orphan_target[2];
+byte orphan_left[2];      /* ticks until it must have ended */
 
 /* The start call in flight, one for each owner. */
 bool is_sent[2];
@@ -189,11 +194,39 @@
     fi
 }
 
+/* The stop of the run arrives or is lost. */
 inline drop_order(i)
 {
     has_order[i] = false;
     if
-    :: run_state[i] != 0 -> stop_run(i); run_state[i] = 0
+    :: run_state[i] != 0 ->
+        has_orphan[i] = true;
+        orphan_target[i] = run_target[i];
+        orphan_left[i] = (is_waiting && resubmit_left > 0 ->
+                          resubmit_left - 1 : 0);
+        if
+        :: stop_run(i)
+        :: true -> skip
+        fi;
+        run_state[i] = 0
+    :: else -> skip
+    fi
+}
+
+/* Renews a target's lease for the run of another job. It covers all runs. */
+inline renew_for_neighbour(i, t)
+{
+    target_lease_left[t] =
+#ifndef M_NEIGHBOUR_LEASE
+        (has_orphan[i] && orphan_target[i] == t && orphan_left[i] < LEASE ->
+         (orphan_left[i] > target_lease_left[t] ->
+          orphan_left[i] : target_lease_left[t]) : LEASE);
+#else
+        LEASE;
+#endif
+    if
+    :: run_state[i] != 0 && run_target[i] == t ->
+        owner_lease_left[i] = LEASE + 1
     :: else -> skip
     fi
 }
@@ -221,6 +254,10 @@
     :: else -> skip
     fi;
     if
+    :: orphan_left[i] > 0 -> orphan_left[i]--
+    :: else -> skip
+    fi;
+    if
     :: is_link_down[i] && silent_ticks[i] <= LINK_TIMEOUT -> silent_ticks[i]++
     :: else -> skip
     fi
@@ -284,6 +321,12 @@
 #endif
         :: is_alive[i] && !is_frozen[i] && has_order[i] &&
            silent_ticks[i] >= LINK_TIMEOUT -> drop_order(i)
+        :: is_alive[i] && !is_frozen[i] && is_ready[i * 2 + t] &&
+           own_token[i] >= token[t] && running[t] != 0 &&
+           target_lease_left[t] < LEASE -> renew_for_neighbour(i, t)
+        :: has_orphan[i] && !is_sent[i] &&
+           (running[orphan_target[i]] == 0 ||
+            run_owner[orphan_target[i]] != i) -> has_orphan[i] = false
         /* Targets. */
         :: running[t] != 0 && run_owner[t] == i ->
             end_run(t);
@@ -324,6 +367,11 @@
             is_link_down[i] = true;
             lose_coordinator(i)
         /* The caller. */
+        :: fault_count < FAULTS && coordinator == i && has_order[i] &&
+           is_alive[i] && !is_frozen[i] ->
+            fault_count++;
+            lose_coordinator(i);
+            drop_order(i)
 #ifdef M_EARLY_RESUBMIT
         :: is_waiting && !is_done && is_alive[i] && !is_frozen[i] ->
 #else
