pool: no starts on a target whose record is of an earlier life

Cause: replies told the new incarnation, and labels, service and capacity were still those of the record that the earlier one wrote.

Mutant record-of-earlier-life is caught. Earlier tests with restarts read the new record at once, as they did by default before.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -105,6 +105,7 @@
 {
     pool_target_t *target = calloc(1, sizeof *target);
     *target = (pool_target_t){.info = *info,
+                              .record_born_ms = info->born_ms,
                               .token = token,
                               .clock_ns = now_ns,
                               .list_due_ns = now_ns,
@@ -144,6 +145,7 @@
     }
     bool has_restarted = info->born_ms > born_ms && born_ms != 0;
     target->info = *info;
+    target->record_born_ms = info->born_ms;
     // Replies to list calls are the authority on the incarnation.
     target->info.born_ms = born_ms;
     if (token > target->token) {
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -47,13 +47,22 @@
     }
 }
 
+/// @return whether what the pool knows of a target is of its present
+///         incarnation, which may be of another kind than the one before
+static bool
+is_record_current(const pool_target_t *target)
+{
+    return target->record_born_ms == 0 ||
+           target->record_born_ms == target->info.born_ms;
+}
+
 bool
 session_accepts_starts(const pool_t *pool, const pool_target_t *target,
                        int64_t now_ns)
 {
     return target->session == kSessionReady && !target->is_dropped &&
            !target->is_fenced && !target->info.is_draining &&
-           target->eject_until_ns <= now_ns &&
+           target->eject_until_ns <= now_ns && is_record_current(target) &&
            lease_read_limit_ms(pool, target, now_ns) == pool->limits.lease_ms;
 }
 
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -106,7 +106,9 @@
 struct pool_target {
     pool_target_t *next;
     pool_target_t *prev;
+    /// As its record says, but for born_ms, which its replies say.
     pool_target_info_t info;
+    uint64_t record_born_ms; ///< incarnation that wrote the record
     uint64_t token;
     session_state_t session;
     bool is_dropped; ///< freed once it has no pending calls and no runs
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -729,6 +729,20 @@
     sim_submit(sim, pool, &order);
 }
 
+/// Lets the pools that have a target read its record.
+static void
+publish_record(sim_t *sim, sim_event_t *event)
+{
+    const pool_target_info_t *info = &sim->targets[event->target].info;
+    for (uint32_t i = 0; i < kSimPoolCount; i++) {
+        uint64_t token = pool_read_target_token(sim->pools[i], info->id);
+        if (token != 0) {
+            pool_put_target(sim->pools[i], info, token, sim->now_ns);
+        }
+    }
+    free(event);
+}
+
 void
 sim_restart_target(sim_t *sim, uint32_t target)
 {
@@ -741,5 +755,7 @@
     restarted->lease_ns = 0;
     restarted->clock_zero_ns = sim->now_ns;
     restarted->info.born_ms += 100000;
+    add_event(sim, sim->now_ns + sim->record_delay_ns, publish_record)
+        ->target = target;
     answer_waiting_lists(sim, restarted);
 }
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -87,6 +87,8 @@
     /// target restarts after crash_down_ns.
     bool (*is_deadly)(const run_name_t *name);
     int64_t crash_down_ns;
+    /// From the restart of a target until the pools read its new record.
+    int64_t record_delay_ns;
     void *state;
 };
 
@@ -113,7 +115,8 @@
                       uint32_t task_count, uint32_t estimate_ms,
                       uint32_t priority);
 
-/// Restarts a target: a new incarnation without the state of the previous one.
+/// Restarts a target: a new incarnation without the state of the previous one,
+/// whose record the pools read after record_delay_ns.
 void sim_restart_target(sim_t *sim, uint32_t target);
 
 #endif
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -224,5 +224,7 @@
     's/^    cancelled_add(pool->cancelled, queue, job, now_ns);//'
 mutant cancelled-queue test_cancelled src/pool/orders.c \
     's/order != NULL \&\& strcmp(order->spec->queue, queue) == 0;/order != NULL;/'
+mutant record-of-earlier-life test_restart src/pool/sessions.c \
+    's/\&\& is_record_current(target) \&\&/\&\& (is_record_current(target) || true) \&\&/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
