--- a/src/node/cancel.c
+++ b/src/node/cancel.c
@@ -43,13 +43,19 @@
     job_cancelled_message_t reply;
     error_info_t err = {0};
     arena_t *arena = arena_create();
-    if (type == kMessageJobCancelled &&
-        pack_read_message(body, &job_cancelled_message_desc, arena, &reply,
+    if (type != kMessageJobCancelled) {
+        arena_destroy(arena);
+        return;
+    }
+    if (pack_read_message(body, &job_cancelled_message_desc, arena, &reply,
                           &err)) {
         question->is_answered = true;
         question->cancellation->is_found |= reply.is_found;
-        conn_close(conn);
     }
+    else {
+        log_event("bad_message", "reason=\"%s\"", err.text);
+    }
+    conn_close(conn);
     arena_destroy(arena);
 }
 
@@ -79,6 +85,10 @@
     question->conn = conn_connect(
         node->loop, node->settings->address, member->record->address,
         member->record->port, &conn_ops, question, &err);
+    if (question->conn == NULL) {
+        log_event("peer_unreachable", "peer=%s reason=\"%s\"",
+                  member->record->name, err.text);
+    }
 }
 
 static uint32_t
