--- a/src/node/cancel.c
+++ b/src/node/cancel.c
@@ -42,11 +42,10 @@
     question_t *question = conn->owner;
     job_cancelled_message_t reply;
     error_info_t err = {0};
-    arena_t *arena = arena_create();
     if (type != kMessageJobCancelled) {
-        arena_destroy(arena);
         return;
     }
+    arena_t *arena = arena_create();
     if (pack_read_message(body, &job_cancelled_message_desc, arena, &reply,
                           &err)) {
         question->is_answered = true;
