--- a/tests/functional/test_reload.c
+++ b/tests/functional/test_reload.c
@@ -3,6 +3,7 @@
 #include <apr_time.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "support/fleet.h"
@@ -43,6 +44,24 @@
     return resident_pages * (uint64_t)sysconf(_SC_PAGESIZE) / 1024;
 }
 
+/// Prints which kind of the node's memory has grown.
+static void
+print_memory(void)
+{
+    char path[64];
+    char line[256];
+    snprintf(path, sizeof path, "/proc/%d/status",
+             (int)fleet.nodes[0].process.pid);
+    FILE *file = fopen(path, "r");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(file);
+    while (fgets(line, sizeof line, file) != NULL) {
+        if (strncmp(line, "Rss", 3) == 0) {
+            printf("%s", line);
+        }
+    }
+    fclose(file);
+}
+
 static void
 send_hangups(uint32_t count)
 {
@@ -63,12 +82,14 @@
     fleet_start(&fleet, 1, 1, 2);
     send_hangups(kSignals);
     uint64_t before_kb = read_memory_kb();
+    print_memory();
     for (uint32_t i = 0; i < kSeriesLimit &&
                          read_metric("jaytrestle_settings_read") < kReloads;
          i++) {
         send_hangups(kSignals);
     }
     uint64_t after_kb = read_memory_kb();
+    print_memory();
     CU_ASSERT(read_metric("jaytrestle_settings_read") >= kReloads);
     CU_ASSERT(after_kb < before_kb + kGrowthLimitKb);
     apr_sleep(kSettleMs * 1000);
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -12,8 +12,9 @@
 enum {
     kPollIntervalUs = 10000,
     kWaitTimeoutUs = 60 * 1000 * 1000,
-    kFirstNetwork = 100,
-    kNetworkCount = 128,
+    /// The cases in review/ choose from 20 to 219.
+    kFirstNetwork = 220,
+    kNetworkCount = 34,
     kMaxProcesses = 512,
     kReservationPort = 7299 ///< bound by the process that uses a network
 };
