--- a/tests/functional/test_reload.c
+++ b/tests/functional/test_reload.c
@@ -91,7 +91,12 @@
     uint64_t after_kb = read_memory_kb();
     print_memory();
     CU_ASSERT(read_metric("jaytrestle_settings_read") >= kReloads);
+#ifndef __SANITIZE_ADDRESS__ // which keeps what was freed
     CU_ASSERT(after_kb < before_kb + kGrowthLimitKb);
+#else
+    (void)before_kb;
+    (void)after_kb;
+#endif
     apr_sleep(kSettleMs * 1000);
     CU_ASSERT_TRUE(fleet_is_ready(&fleet, 0));
     CU_ASSERT_EQUAL(fleet_submit_job(&fleet, 0, 0x1001, 2, 10), 200);
