node: no runs on the targets of an evacuated data centre

The operator can evacuate a data centre. Nothing read its records: nodes kept starting tasks there.

Owners treat the targets of an evacuated data centre as draining and end the orders that have no target left; coordinators choose among the owners of other data centres, and refuse jobs at once while all are evacuated.

--- a/src/node/catalog.c
+++ b/src/node/catalog.c
@@ -34,7 +34,8 @@
 }
 
 /// Adds a target to the pool if this node holds its partition, and removes it
-/// otherwise. A target of a revoked partition gets no new runs.
+/// otherwise. A target of a revoked partition or of an evacuated data centre
+/// gets no new runs.
 static void
 update_target(node_t *node, const catalog_target_t *target, int64_t now_ns)
 {
@@ -43,7 +44,8 @@
     if (token != 0) {
         pool_target_info_t info = target->info;
         info.is_draining |=
-            held->is_revoked[partitions_find(held, target->info.id)];
+            held->is_revoked[partitions_find(held, target->info.id)] ||
+            !target->group->accepts_runs;
         pool_put_target(node->pool, &info, token, now_ns);
     }
     else {
--- a/src/node/coordinator.c
+++ b/src/node/coordinator.c
@@ -15,9 +15,11 @@
     kLinkTimeoutPercent = 40, ///< of resubmit_ms
     /// From the caller's deadline until its job is settled as lost.
     kDeadlineGraceMs = 300,
-    kNoOwnerRetryMs = 1000,  ///< Retry-After while no owner is known
-    kStoppingRetryMs = 1000, ///< Retry-After while the node is stopping
-    kOverdueRetryMs = 1000,  ///< Retry-After for a request that came too late
+    kEvacuatedRetryMs = 2000, ///< Retry-After while all data centres are
+                              ///< evacuated
+    kNoOwnerRetryMs = 1000,   ///< Retry-After while no owner is known
+    kStoppingRetryMs = 1000,  ///< Retry-After while the node is stopping
+    kOverdueRetryMs = 1000,   ///< Retry-After for a request that came too late
     /// A stopping node accepts a job only if at least this multiple of the
     /// job's objective is left: estimates are off by up to that factor.
     kStopMarginFactor = 3,
@@ -180,12 +182,28 @@
     return false;
 }
 
+/// Settles a job while all data centres are evacuated: no owner may start its
+/// tasks.
+///
+/// @return whether it was settled
+static bool
+settle_evacuated_job(caller_job_t *job)
+{
+    if (!evacuation_is_total(&job->node->evacuation)) {
+        return false;
+    }
+    settle_job(job, kOrderOutcomeRefused, kErrorKindEvacuated,
+               kEvacuatedRetryMs);
+    return true;
+}
+
 /// Assigns a job to an owner or defers it; refuses it when neither is
 /// possible.
 static void
 place_job(caller_job_t *job)
 {
-    if (!settle_overdue_job(job) && !assign_job(job) && !defer_job(job)) {
+    if (!settle_overdue_job(job) && !settle_evacuated_job(job) &&
+        !assign_job(job) && !defer_job(job)) {
         settle_job(job, kOrderOutcomeRefused, kErrorKindNoDispatcher,
                    kNoOwnerRetryMs);
     }
@@ -275,7 +293,8 @@
     job->is_assigned = false;
     if (settled->outcome == kOrderOutcomeRefused &&
         settled->kind != kErrorKindDeadline &&
-        (settle_overdue_job(job) || assign_job(job) ||
+        (settle_overdue_job(job) || settle_evacuated_job(job) ||
+         assign_job(job) ||
          (is_no_owner_error(settled->kind) && defer_job(job)))) {
         return;
     }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -374,6 +374,14 @@
         state, "config_version",
         json_object_new_uint64(node->queues == NULL ? 0
                                                     : node->queues->version));
+    json_object *evacuated = json_object_new_array();
+    for (uint32_t i = 0; i < node->group_count; i++) {
+        if (node->groups[i].is_evacuated) {
+            json_object_array_add(evacuated,
+                                  json_object_new_string(node->groups[i].dc));
+        }
+    }
+    json_object_object_add(state, "evacuated", evacuated);
     json_object_object_add(
         state, "jobs", json_object_new_uint64(atomic_load(&node->job_count)));
     json_object_object_add(state, "orders",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,6 +14,7 @@
 #include "net/listener.h"
 #include "node/adapter.h"
 #include "node/queues.h"
+#include "ownership/evacuation.h"
 #include "ownership/members.h"
 #include "ownership/partitions.h"
 #include "pool/pool.h"
@@ -61,6 +62,8 @@
     uint64_t decided_version;   ///< membership_version of the last decision
     int64_t decide_due_ns;      ///< when to decide on the membership again
                                 ///< without a change
+    bool is_evacuated;          ///< as last applied to the pool
+    bool accepts_runs;          ///< as last applied to the pool
     bool needs_targets;         ///< this node may soon join, and needs the
                                 ///< targets although they are in another
                                 ///< data centre
@@ -88,6 +91,7 @@
     pool_t *pool;
     dc_group_t *groups; ///< one for each data centre
     uint32_t group_count;
+    evacuation_t evacuation;
     struct catalog_target *catalog; ///< targets that the platform lists
     apr_hash_t *targets_by_id;      ///< the targets of the catalog
     uint64_t catalog_list_number;   ///< of the list that is being received
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -30,6 +30,19 @@
                              ///< lost reply does no harm
 };
 
+bool
+owner_accepts_runs(const node_t *node)
+{
+    for (uint32_t i = 0; i < node->group_count; i++) {
+        const dc_group_t *group = &node->groups[i];
+        if (group->accepts_runs &&
+            partitions_count_held(&group->partitions) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 owner_has_partitions(const node_t *node)
 {
@@ -480,6 +493,7 @@
     node->pool = pool_create(&limits, &pool_ops, node);
     node->targets_by_id = apr_hash_make(node->arena);
     node->group_count = settings->dcs_count;
+    evacuation_init(&node->evacuation, settings->dcs, settings->dcs_count);
     node->groups =
         apr_pcalloc(node->arena, node->group_count * sizeof *node->groups);
     for (uint32_t i = 0; i < node->group_count; i++) {
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -23,6 +23,10 @@
 /// @return when to call it again
 int64_t owner_advance(node_t *node, int64_t now_ns);
 
+/// @return whether this node holds a partition of a data centre whose targets
+///         may get new runs
+bool owner_accepts_runs(const node_t *node);
+
 /// @return whether this node holds a partition of any data centre
 bool owner_has_partitions(const node_t *node);
 
--- a/src/node/peer_state.h
+++ b/src/node/peer_state.h
@@ -18,6 +18,7 @@
     conn_t *conn;   ///< NULL while there is none
     bool is_up;     ///< its hello has been received
     bool is_owner;
+    bool is_open; ///< owns targets of a data centre that is not evacuated
     bool is_leaving;
     bool has_record;        ///< is in the list of members
     bool is_local;          ///< is in this node's data centre, or owns targets
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -181,6 +181,18 @@
     return peer;
 }
 
+/// @return whether a node owns targets of a data centre that is not evacuated
+static bool
+owns_open_dc(const node_t *node, const node_record_t *record)
+{
+    for (uint32_t i = 0; i < record->pools_count; i++) {
+        if (!evacuation_has(&node->evacuation, record->pools[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 peers_put(node_t *node, member_t *member)
 {
@@ -197,6 +209,7 @@
     peer->port = record->port;
     peer->nonce = record->nonce;
     peer->is_owner = record->pools_count > 0;
+    peer->is_open = owns_open_dc(node, record);
     peer->is_local = strcmp(record->dc, node->settings->dc) == 0 ||
                      member_owns_dc(member, node->settings->dc);
     peer->is_leaving = record->is_leaving;
@@ -214,6 +227,17 @@
     peer_plan_invalidate(node);
 }
 
+void
+peers_update_open(node_t *node)
+{
+    for (peer_t *peer = node->peers; peer != NULL; peer = peer->next) {
+        const member_t *member = members_find(&node->members, peer->name);
+        if (member != NULL) {
+            peer->is_open = owns_open_dc(node, member->record);
+        }
+    }
+}
+
 void
 peers_remove(node_t *node, const char *name)
 {
@@ -353,7 +377,7 @@
 static bool
 is_usable(const peer_t *peer, int64_t now_ns)
 {
-    return peer->is_up && peer->is_owner &&
+    return peer->is_up && peer->is_open &&
            (peer->order_count == 0 || now_ns - peer->conn->last_received_ns <
                                           (int64_t)kMaxSilenceMs * kNsPerMs);
 }
@@ -376,7 +400,7 @@
     int64_t now_ns = clock_now_ns();
     job_need_t need = read_need(job);
     pool_choice_t choice = {.rng = &node->peer_plan->rng};
-    if (owner_has_partitions(node) && !was_tried(job, node) &&
+    if (owner_accepts_runs(node) && !was_tried(job, node) &&
         !pool_is_closed(node->pool)) {
         pool_status_t status = pool_read_status(node->pool, now_ns);
         choice_add(&choice,
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -12,6 +12,9 @@
 /// Creates or updates the peer of a member whose record has been read.
 void peers_put(node_t *node, member_t *member);
 
+/// Updates which peers own targets of data centres that are not evacuated.
+void peers_update_open(node_t *node);
+
 /// The record of a node was deleted.
 void peers_remove(node_t *node, const char *name);
 
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -191,6 +191,12 @@
     return pool->is_closed;
 }
 
+void
+pool_set_evacuating(pool_t *pool, bool is_evacuating)
+{
+    pool->is_evacuating = is_evacuating;
+}
+
 bool
 pool_is_lossy(const pool_t *pool, int64_t now_ns)
 {
@@ -250,6 +256,7 @@
 int64_t
 pool_advance(pool_t *pool, int64_t now_ns)
 {
+    strand_end_orders(pool, now_ns);
     urgency_update_contention(pool, now_ns);
     int64_t due_ns = advance_orders(pool, now_ns);
     advance_targets(pool, now_ns);
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -221,6 +221,10 @@
 
 bool pool_is_closed(const pool_t *pool);
 
+/// Sets whether data centres are evacuated: orders that have no target left
+/// are then ended at once. Their targets are put as draining.
+void pool_set_evacuating(pool_t *pool, bool is_evacuating);
+
 /// These handle the reply to a call.
 void pool_handle_start_reply(pool_t *pool, pool_run_t *run,
                              const call_reply_t *reply, int64_t now_ns);
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -174,6 +174,7 @@
     int64_t round_trip_ns;  ///< smoothed time from a start call to its reply
     int64_t lossy_until_ns; ///< calls are assumed to be lost until then
     bool is_closed;
+    bool is_evacuating; ///< data centres are evacuated
     /// Since when orders that can meet their objective have waited for
     /// resources without a break; 0 while none does.
     int64_t contended_since_ns;
@@ -313,6 +314,13 @@
 int64_t place_estimate_run_ns(uint32_t estimate_ms,
                               const pool_target_t *target);
 
+// strand.c
+
+/// Ends the orders whose waiting tasks have no target while data centres are
+/// evacuated: refused if none of their tasks was started, so that the
+/// coordinator tries another owner, and lost otherwise.
+void strand_end_orders(pool_t *pool, int64_t now_ns);
+
 // wait.c
 
 void wait_init(pool_t *pool);
--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -206,7 +206,8 @@
     uint64_t capacity_mcores = 0;
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (target->session == kSessionReady && !target->is_dropped) {
+        if (target->session == kSessionReady && !target->is_dropped &&
+            !target->info.is_draining) {
             capacity_mcores += target->info.cpu_mcores;
         }
     }
