--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,7 @@
 /// callers and runners saw is checked against the guarantees.
 ///
 ///   soak --seed N [--seconds S] [--dcs N] [--nodes N] [--runners N]
-///        [--deadly]
+///        [--deadly] [--evacuations]
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <apr_time.h>
@@ -38,6 +38,7 @@
     uint32_t nodes;
     uint32_t runners;
     bool has_deadly_jobs;
+    bool has_evacuations;
 } options_t;
 
 /// A job of a caller.
@@ -279,6 +280,24 @@
     return runner;
 }
 
+static void
+end_evacuation(uint32_t dc)
+{
+    char query[32];
+    snprintf(query, sizeof query, "restore=%u", dc);
+    fleet_set_platform(&fleet, query);
+}
+
+static uint32_t
+begin_evacuation(rng_t *rng)
+{
+    char query[32];
+    uint32_t dc = 1 + rng_below(rng, options.dcs);
+    snprintf(query, sizeof query, "evacuate=%u", dc);
+    fleet_set_platform(&fleet, query);
+    return dc;
+}
+
 /// For faults that need no action to end.
 static void
 end_nothing(uint32_t index)
@@ -303,15 +322,19 @@
     {"lost connection state", 2, false, drop_connection_state, end_nothing},
     {"partition", 2, false, begin_partition, end_partition},
     {"runner", 8, false, begin_runner_fault, end_runner_fault},
+    {"evacuation", 3, false, begin_evacuation, end_evacuation},
 };
 
 enum { kFaultKindCount = sizeof fault_kinds / sizeof fault_kinds[0] };
 
+/// Evacuations, which come last in the table, are drawn only on request, so
+/// that the recorded seeds keep their faults.
 static const fault_kind_t *
 choose_kind(rng_t *rng)
 {
     uint32_t total = 0;
-    for (uint32_t i = 0; i < kFaultKindCount; i++) {
+    uint32_t kind_count = kFaultKindCount - !options.has_evacuations;
+    for (uint32_t i = 0; i < kind_count; i++) {
         total += fault_kinds[i].weight;
     }
     uint32_t draw = rng_below(rng, total);
@@ -376,6 +399,9 @@
     for (uint32_t i = 0; i < options.runners; i++) {
         end_runner_fault(i);
     }
+    for (uint32_t i = 1; i <= options.dcs; i++) {
+        end_evacuation(i);
+    }
 }
 
 /// Checks the responses of a job against the counters of the runners: a node
@@ -420,17 +446,19 @@
     }
     uint64_t doubles = fleet_read_counter(&fleet, "doubles");
     uint64_t drained = fleet_read_counter(&fleet, "drained");
+    uint64_t evacuated = fleet_read_counter(&fleet, "evacuated");
     uint64_t running = fleet_read_counter(&fleet, "running");
-    printf("seed %llu: jobs=%u served=%u starts=%llu doubles=%llu "
-           "drained=%llu running=%llu crashes=%llu problems=%u\n",
-           (unsigned long long)options.seed, count, served,
-           (unsigned long long)fleet_read_counter(&fleet, "starts"),
-           (unsigned long long)doubles, (unsigned long long)drained,
-           (unsigned long long)running,
-           (unsigned long long)fleet_read_counter(&fleet, "crashes"),
-           problems);
+    printf(
+        "seed %llu: jobs=%u served=%u starts=%llu doubles=%llu "
+        "drained=%llu evacuated=%llu running=%llu crashes=%llu problems=%u\n",
+        (unsigned long long)options.seed, count, served,
+        (unsigned long long)fleet_read_counter(&fleet, "starts"),
+        (unsigned long long)doubles, (unsigned long long)drained,
+        (unsigned long long)evacuated, (unsigned long long)running,
+        (unsigned long long)fleet_read_counter(&fleet, "crashes"), problems);
     return problems + (uint32_t)doubles + (uint32_t)drained +
-           (uint32_t)running + (served * 4 < count ? 1 : 0);
+           (uint32_t)evacuated + (uint32_t)running +
+           (served * 4 < count ? 1 : 0);
 }
 
 static void
@@ -468,6 +496,7 @@
     {"nodes", 'n', "N", 0, "nodes in each data centre", 0},
     {"runners", 'r', "N", 0, "total number of runners", 0},
     {"deadly", 'x', NULL, 0, "some tasks crash their runners", 0},
+    {"evacuations", 'e', NULL, 0, "data centres are evacuated", 0},
     {0}};
 
 static error_t
@@ -494,6 +523,9 @@
     case 'x':
         options.has_deadly_jobs = true;
         return 0;
+    case 'e':
+        options.has_evacuations = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -18,8 +18,9 @@
     kTaskMcores = 14000,
     kMaxLeaseMs = 1000,
     kPublishIntervalMs = 1500,
-    kMaxDrainNoticeMs = 2500, ///< the promise is a few seconds
-    kCrashDelayMs = 20,       ///< from the start of a deadly task to the crash
+    kMaxDrainNoticeMs = 2500,      ///< the promise is a few seconds
+    kMaxEvacuationNoticeMs = 5000, ///< the promise
+    kCrashDelayMs = 20, ///< from the start of a deadly task to the crash
     kCrashDownMs = 2000,
     kTickIntervalMs = 2
 };
@@ -68,6 +69,7 @@
     runner_t *runners;
     uint32_t count;
     runners_counters_t counters;
+    int64_t evacuated_since_ns[kRunnersMaxDcs + 1]; ///< by data centre; 0: not
     arena_t *arena;
     apr_hash_t *jobs; ///< job_counters_t by name
     loop_timer_t tick_timer;
@@ -290,6 +292,23 @@
                                                                    : NULL;
 }
 
+/// Counts a start in an evacuated data centre if its owner could have read
+/// this from the store more than kMaxEvacuationNoticeMs ago.
+static void
+count_start_while_evacuated(runner_t *runner, const char *task)
+{
+    int64_t known_since_ns = fake_store_healthy_since_ns(runner->all->store);
+    int64_t evacuated_since_ns = runner->all->evacuated_since_ns[runner->dc];
+    known_since_ns = known_since_ns > evacuated_since_ns ? known_since_ns
+                                                         : evacuated_since_ns;
+    int64_t age_ms = (clock_now_ns() - known_since_ns) / kNsPerMs;
+    if (evacuated_since_ns != 0 && age_ms > kMaxEvacuationNoticeMs) {
+        runner->all->counters.evacuated++;
+        log_event("evacuated_start", "runner=%s task=%s age_ms=%lld",
+                  runner->id, task, (long long)age_ms);
+    }
+}
+
 /// Counts a start on a draining runner if its owner could have read this from
 /// the store more than kMaxDrainNoticeMs ago. The time starts again after each
 /// fault in which the store doesn't respond.
@@ -345,7 +364,9 @@
     counters->starts++;
     find_job(runner->all, task)->starts++;
     counters->doubles += runs_on_another(runner, task);
+    counters->dc_starts[runner->dc]++;
     count_start_while_draining(runner, task);
+    count_start_while_evacuated(runner, task);
     if (strcmp(read_text(body, "task_spec"), "crash") == 0) {
         runner->crash_due_ns = clock_deadline_ns(kCrashDelayMs);
     }
@@ -540,6 +561,19 @@
     return &runners->counters;
 }
 
+void
+runners_set_evacuated(runners_t *runners, uint32_t dc, bool is_evacuated)
+{
+    char key[32];
+    if (dc < 1 || dc > kRunnersMaxDcs) {
+        return;
+    }
+    snprintf(key, sizeof key, "evacuate/dc%u", dc);
+    fake_store_put(runners->store, "keyed.op", key,
+                   is_evacuated ? "{}" : NULL);
+    runners->evacuated_since_ns[dc] = is_evacuated ? clock_now_ns() : 0;
+}
+
 runners_t *
 runners_open(loop_t *loop, fake_store_t *store, const char *address,
              uint16_t port, uint32_t count, uint32_t dcs, error_info_t *err)
--- a/tests/standins/runners.h
+++ b/tests/standins/runners.h
@@ -7,8 +7,11 @@
 
 typedef struct runners runners_t;
 
+enum { kRunnersMaxDcs = 4 };
+
 /// Counts over all runners.
 typedef struct {
+    uint64_t dc_starts[kRunnersMaxDcs + 1]; ///< by data centre, from 1 on
     uint64_t starts;
     uint64_t done;
     uint64_t failed;
@@ -17,8 +20,9 @@
     uint64_t doubles;     ///< starts of a task that ran on another runner too
     uint64_t out_of_room; ///< starts rejected for lack of capacity
     uint64_t drained;     ///< starts long after the runner began to drain
-    uint64_t crashes;     ///< runners that a task crashed
-    uint64_t running;     ///< runs in progress
+    uint64_t evacuated; ///< starts in a data centre long after its evacuation
+    uint64_t crashes;   ///< runners that a task crashed
+    uint64_t running;   ///< runs in progress
 } runners_counters_t;
 
 /// Opens runners on consecutive ports and publishes them in the store. The
@@ -38,6 +42,9 @@
 /// @return false if there is no such runner
 bool runners_set_mode(runners_t *runners, uint32_t number, const char *mode);
 
+/// Evacuates a data centre or takes that back, with a record in the store.
+void runners_set_evacuated(runners_t *runners, uint32_t dc, bool is_evacuated);
+
 /// Counts of one job.
 typedef struct {
     uint64_t starts;
--- a/tests/standins/users.c
+++ b/tests/standins/users.c
@@ -81,6 +81,15 @@
         fake_store_put(users->store, "keyed.servers", "bad", "{\"service\":7");
         fake_store_put(users->store, "keyed.op", "noise", "[1,2");
     }
+    if (strstr(path, "bad_evacuation=1") != NULL) {
+        fake_store_put(users->store, "keyed.op", "evacuate/dc1", "[1,2");
+        fake_store_put(users->store, "keyed.op", "evacuate/nowhere", "{}");
+        fake_store_put(users->store, "keyed.op", "evacuate/", "{}");
+    }
+    runners_set_evacuated(users->runners, query_number(path, "evacuate=", 0),
+                          true);
+    runners_set_evacuated(users->runners, query_number(path, "restore=", 0),
+                          false);
     const char *mode = strstr(path, "mode=");
     if (mode != NULL) {
         runners_set_mode(users->runners, query_number(path, "runner=", 0),
@@ -109,7 +118,8 @@
                  "{\"starts\": %llu, \"done\": %llu, \"failed\": %llu, "
                  "\"stopped\": %llu, \"lapsed\": %llu, \"doubles\": %llu, "
                  "\"out_of_room\": %llu, \"drained\": %llu, "
-                 "\"crashes\": %llu, "
+                 "\"crashes\": %llu, \"evacuated\": %llu, "
+                 "\"starts_dc1\": %llu, \"starts_dc2\": %llu, "
                  "\"running\": %llu, \"store_calls\": %llu, "
                  "\"node_records\": %llu, \"node_names\": %llu, "
                  "\"leaves\": %llu}",
@@ -122,6 +132,9 @@
                  (unsigned long long)counters->out_of_room,
                  (unsigned long long)counters->drained,
                  (unsigned long long)counters->crashes,
+                 (unsigned long long)counters->evacuated,
+                 (unsigned long long)counters->dc_starts[1],
+                 (unsigned long long)counters->dc_starts[2],
                  (unsigned long long)counters->running,
                  (unsigned long long)fake_store_count_calls(users->store),
                  (unsigned long long)fake_store_end_offset(users->store,
