--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -226,5 +226,13 @@
     's/order != NULL \&\& strcmp(order->spec->queue, queue) == 0;/order != NULL;/'
 mutant record-of-earlier-life test_restart src/pool/sessions.c \
     's/\&\& is_record_current(target) \&\&/\&\& (is_record_current(target) || true) \&\&/'
+mutant evacuated-targets functional_test_evacuation src/node/catalog.c \
+    's/^            !target->group->accepts_runs;/            false;/'
+mutant list-before-runs test_evacuation src/ownership/evacuation.c \
+    's/return evacuation->is_listed \&\& !evacuation_has/return !evacuation_has/'
+mutant stranded-orders test_evacuation src/pool/strand.c \
+    's/if (!pool->is_evacuating) {/if (true) {/'
+mutant owners-left test_evacuation src/node/peers.c \
+    's/return peer->is_up \&\& peer->is_open \&\&/return peer->is_up \&\& peer->is_owner \&\&/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
