dispatch, front, ctl: an operator evacuates a data centre

A dispatcher of an evacuated data centre starts nothing and refuses new jobs; its front gets ids from another one. jtctl status lists the evacuated data centres.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -146,6 +146,15 @@
     return abort_job(job, kErrorKindDeadline);
 }
 
+/// Tries in flight go on, so that the answer can tell what they did.
+static uint32_t
+apply_evacuated(job_t *job, const job_event_t *event)
+{
+    (void)event;
+    uint32_t actions = fail_job(job, kErrorKindEvacuated);
+    return actions | finish_if_idle(job);
+}
+
 static const event_handler_t event_handlers[kJobEventCount] = {
     [kJobEventTaskStart] = apply_task_start,
     [kJobEventTryDone] = apply_try_done,
@@ -153,6 +162,7 @@
     [kJobEventTryFailed] = apply_try_failed,
     [kJobEventCancel] = apply_cancel,
     [kJobEventDeadline] = apply_deadline,
+    [kJobEventEvacuated] = apply_evacuated,
 };
 
 /// @return whether the event reports the result of a try, which is valid only
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -34,12 +34,13 @@
     kJobEventTryFailed, ///< the task may have run; `kind` is the error
     kJobEventCancel,    ///< the caller cancelled the job
     kJobEventDeadline,  ///< the job's deadline passed
+    kJobEventEvacuated, ///< no target may start its waiting tasks
     kJobEventCount
 } job_event_type_t;
 
 typedef struct {
     job_event_type_t type;
-    uint32_t task;     ///< index of the task; unused by Cancel and Deadline
+    uint32_t task;     ///< index of the task; set for TaskStart and Try*
     error_kind_t kind; ///< set for TryNotRun and TryFailed
     bool may_retry; ///< set for TryNotRun: the retry rules allow another try
 } job_event_t;
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "codec/json.h"
+#include "config/evacuated_dcs.h"
 #include "runtime/app.h"
 
 enum { kMaxSectionBytes = 1024 * 1024, kEditIdBytes = 16 };
@@ -171,16 +172,15 @@
 }
 
 static int
-run_config_put(const command_args_t *args, error_info_t *err)
+put_section(const command_args_t *args, const char *section, const char *text,
+            error_info_t *err)
 {
-    const char *text = NULL;
-    config_put_message_t put = {.request = 1, .section = args->positional[0]};
+    config_put_message_t put = {
+        .request = 1, .section = section, .text = text};
     config_result_message_t result;
-    if (!read_section(args, args->positional[1], &text, err) ||
-        !resolve_base(args, put.section, &put.base, err)) {
+    if (!resolve_base(args, section, &put.base, err)) {
         return fail(err);
     }
-    put.text = text;
     put.edit_id =
         args->edit_id != NULL ? args->edit_id : make_edit_id(args->arena);
     printf("edit %s base %lu\n", put.edit_id, (unsigned long)put.base);
@@ -201,6 +201,45 @@
     return 0;
 }
 
+static int
+run_config_put(const command_args_t *args, error_info_t *err)
+{
+    const char *text = NULL;
+    if (!read_section(args, args->positional[1], &text, err)) {
+        return fail(err);
+    }
+    return put_section(args, args->positional[0], text, err);
+}
+
+/// Edits the section of the data centre that is named on the command line.
+static int
+put_dc_section(const command_args_t *args, const char *text, error_info_t *err)
+{
+    char section[kEvacuationSectionBytes];
+    uint16_t dc = 0;
+    if (!evacuated_dcs_parse(args->positional[0], &dc)) {
+        error_set(err, kErrorKindConfigInvalid,
+                  "%s: not the number of a data centre", args->positional[0]);
+        fail(err);
+        return kExitUsage;
+    }
+    evacuated_dcs_format_section(section, dc);
+    return put_section(args, section, text, err);
+}
+
+static int
+run_evacuate(const command_args_t *args, error_info_t *err)
+{
+    return put_dc_section(args, "{}", err);
+}
+
+/// An empty text removes the section.
+static int
+run_restore(const command_args_t *args, error_info_t *err)
+{
+    return put_dc_section(args, "", err);
+}
+
 /// Prints the configuration offsets in use on one VM.
 ///
 /// @return whether its agent answered
@@ -246,10 +285,41 @@
     return is_complete ? 0 : kExitFailure;
 }
 
+/// Prints the evacuated data centres, and which configuration is in use where.
+static int
+run_status(const command_args_t *args, error_info_t *err)
+{
+    config_update_message_t update;
+    if (!fetch_config(args, &update, err)) {
+        return fail(err);
+    }
+    for (uint32_t i = 0; i < update.sections_count; i++) {
+        const section_entry_t *section = &update.sections[i];
+        uint16_t dc = 0;
+        if (section->text[0] != '\0' &&
+            evacuated_dcs_read_section(section->name, &dc)) {
+            printf("dc %u evacuated at offset %lu\n", dc,
+                   (unsigned long)section->offset);
+        }
+    }
+    return run_config_status(args, err);
+}
+
 const command_t command_table[] = {
     {.name = "dump", .usage = "dump", .run = run_dump},
     {.name = "counters", .usage = "counters", .run = run_counters},
     {.name = "stop", .usage = "stop", .run = run_stop},
+    {.name = "status", .usage = "status", .run = run_status},
+    {.name = "evacuate",
+     .usage = "evacuate DC",
+     .min_args = 1,
+     .max_args = 1,
+     .run = run_evacuate},
+    {.name = "restore",
+     .usage = "restore DC",
+     .min_args = 1,
+     .max_args = 1,
+     .run = run_restore},
     {.name = "config get",
      .usage = "config get [SECTION]",
      .max_args = 1,
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -138,7 +138,8 @@
         .parser = parse_option,
         .args_doc = "COMMAND [ARGS]",
         .doc = "Inspects and controls jaytrestle processes.\n\v"
-               "Commands: dump, counters, stop, config get [SECTION], config "
+               "Commands: dump, counters, stop, status, evacuate DC, restore "
+               "DC, config get [SECTION], config "
                "check FILE, config put SECTION FILE, config status."};
     options_t options = {0};
     ctl_settings_t settings;
--- a/src/dispatch/jobs.c
+++ b/src/dispatch/jobs.c
@@ -11,6 +11,8 @@
 #include "limit/admission.h"
 #include "runtime/clock.h"
 
+enum { kEvacuatedRetryMs = 2000 }; ///< Retry-After of an evacuated data centre
+
 static void
 add_waiter(job_record_t *record, const reply_to_t *to)
 {
@@ -208,6 +210,10 @@
     if (view->config_offset == 0) {
         return kErrorKindNotReady;
     }
+    if (view->is_evacuated) {
+        detail->retry_after_ms = kEvacuatedRetryMs;
+        return kErrorKindEvacuated;
+    }
     int64_t now_ns = clock_now_ns();
     team_t *team = view_find_team(view, document->team);
     admission_query_t query = {
--- a/src/dispatch/main.c
+++ b/src/dispatch/main.c
@@ -84,6 +84,8 @@
 describe_view(json_object *state, const view_t *view)
 {
     add_number(state, "config_offset", view->config_offset);
+    json_object_object_add(state, "evacuated",
+                           json_object_new_boolean(view->is_evacuated));
     add_number(state, "teams", apr_hash_count(view->teams));
     add_number(state, "members", view->members->vm_count);
     add_number(state, "entry_vms", view->entry_count);
--- a/src/dispatch/tries.c
+++ b/src/dispatch/tries.c
@@ -291,6 +291,20 @@
     }
 }
 
+/// Ends the jobs with waiting tasks: the own data centre is evacuated, and no
+/// dispatcher of another one may start a task of this one's ids.
+static void
+end_waiting_jobs(shard_t *shard)
+{
+    for (task_class_t *task_class = task_queue_first_class(shard->task_queue);
+         task_class != NULL; task_class = task_class_next(task_class)) {
+        job_part_t *part;
+        while ((part = task_class_first_part(task_class)) != NULL) {
+            jobs_apply(part->job, &(job_event_t){.type = kJobEventEvacuated});
+        }
+    }
+}
+
 void
 tries_start_waiting(shard_t *shard)
 {
@@ -300,11 +314,16 @@
     int64_t now_ns = clock_now_ns();
     rcu_read_lock();
     const view_t *view = rcu_dereference(shard->dispatch->view);
+    bool is_evacuated = view->is_evacuated;
     for (task_class_t *task_class = task_queue_first_class(shard->task_queue);
-         task_class != NULL; task_class = task_class_next(task_class)) {
+         task_class != NULL && !is_evacuated;
+         task_class = task_class_next(task_class)) {
         start_class(shard, task_class, view, now_ns);
     }
     rcu_read_unlock();
+    if (is_evacuated) {
+        end_waiting_jobs(shard);
+    }
     task_queue_free_empty_classes(shard->task_queue);
     uint32_t waiting_count = task_queue_length(shard->task_queue);
     atomic_store(&shard->waiting_count, waiting_count);
--- a/src/dispatch/view.c
+++ b/src/dispatch/view.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#include "base/counters.h"
 #include "codec/json.h"
 #include "runtime/log.h"
 
@@ -55,6 +56,8 @@
     next->teams = apr_hash_make(arena);
     next->config_offset = old->config_offset;
     next->entry_count = old->entry_count;
+    next->evacuated = old->evacuated;
+    next->is_evacuated = old->is_evacuated;
     copy_teams(next, old);
     return next;
 }
@@ -92,6 +95,24 @@
     free_view(old);
 }
 
+/// Updates which data centres are evacuated. Logs a change of the own one.
+static void
+apply_evacuations(view_t *next, uint16_t dc,
+                  const config_update_message_t *update)
+{
+    bool was_evacuated = next->is_evacuated;
+    evacuated_dcs_apply(&next->evacuated, update);
+    next->is_evacuated = evacuated_dcs_has(&next->evacuated, dc);
+    gauge_set(kGaugeDcsEvacuated, next->evacuated.count);
+    if (next->is_evacuated != was_evacuated) {
+        counter_add(next->is_evacuated ? kCounterEvacuationsBegun
+                                       : kCounterEvacuationsEnded,
+                    1);
+        log_event(next->is_evacuated ? "evacuation_begun" : "evacuation_ended",
+                  "dc=%u offset=%lu", dc, (unsigned long)update->offset);
+    }
+}
+
 /// Applies a section to its team. An empty section removes the team.
 static void
 apply_section(view_t *next, const section_entry_t *entry)
@@ -99,6 +120,10 @@
     team_t *team = view_find_team(next, entry->name);
     section_document_t section;
     error_info_t err = {0};
+    uint16_t dc = 0;
+    if (evacuated_dcs_read_section(entry->name, &dc)) {
+        return;
+    }
     if (entry->text[0] == '\0') {
         if (team != NULL) {
             apr_hash_set(next->teams, team->name, APR_HASH_KEY_STRING, NULL);
@@ -138,7 +163,6 @@
 view_apply_config(view_t **view, const dispatch_settings_t *settings,
                   const config_update_message_t *update)
 {
-    (void)settings;
     view_t *old = *view;
     view_t *next = create_next(old);
     next->targets = old->targets;
@@ -147,6 +171,7 @@
     if (update->full) {
         clear_teams(next);
     }
+    apply_evacuations(next, settings->here.dc, update);
     for (uint32_t i = 0; i < update->sections_count; i++) {
         apply_section(next, &update->sections[i]);
     }
--- a/src/dispatch/view.h
+++ b/src/dispatch/view.h
@@ -6,6 +6,7 @@
 
 #include <apr_hash.h>
 
+#include "config/evacuated_dcs.h"
 #include "generated/messages.h"
 #include "generated/settings.h"
 #include "limit/team.h"
@@ -16,6 +17,8 @@
     arena_t *arena;
     uint64_t config_offset; ///< 0 if no configuration is known
     apr_hash_t *teams;      ///< name to team_t
+    evacuated_dcs_t evacuated;
+    bool is_evacuated; ///< this data centre: its targets get no new tries
     target_table_t *targets;
     members_t *members;
     uint32_t entry_count; ///< live entry VMs of this data centre, at least 1
--- a/src/front/dispatcher_link.c
+++ b/src/front/dispatcher_link.c
@@ -243,7 +243,8 @@
 void
 dispatcher_link_attach_next_id(dispatcher_link_t *link, call_t *call)
 {
-    if (link == NULL || link->is_draining) {
+    if (link == NULL || link->is_draining ||
+        link->dc != atomic_load(link->relay->mint_dc)) {
         return;
     }
     call->has_next_id =
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <stdatomic.h>
 
+#include "config/evacuated_dcs.h"
 #include "front/relay.h"
 #include "net/listener.h"
 #include "runtime/agent_link.h"
@@ -14,6 +15,8 @@
     const front_settings_t *settings;
     control_t control;
     members_t *members; ///< read under RCU
+    evacuated_dcs_t evacuated;
+    _Atomic uint16_t mint_dc; ///< where relays get ids; see relay_init
     relay_t *relays;
     uint32_t relay_count;
     _Atomic uint32_t next_relay; ///< counts up; calls rotate over the relays
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <urcu-bp.h>
 
+#include "base/counters.h"
 #include "front/front.h"
 #include "front/http.h"
 #include "runtime/app.h"
@@ -14,11 +15,26 @@
     .doc = "Takes jobs from callers over HTTP and passes them to dispatchers.",
     .settings_desc = &front_settings_desc};
 
+/// Jobs of an evacuated data centre are run in another one.
+static void
+update_mint_dc(front_t *front)
+{
+    const vm_settings_t *here = &front->settings->here;
+    uint16_t dc = evacuated_dcs_choose(&front->evacuated, front->members,
+                                       here->dc, here->vm);
+    if (atomic_exchange(&front->mint_dc, dc) != dc) {
+        log_event("mint_dc", "dc=%u evacuated=%d", dc,
+                  evacuated_dcs_has(&front->evacuated, here->dc));
+    }
+}
+
 static void
 on_config(void *owner, const config_update_message_t *update)
 {
-    (void)owner;
-    (void)update;
+    front_t *front = owner;
+    evacuated_dcs_apply(&front->evacuated, update);
+    gauge_set(kGaugeDcsEvacuated, front->evacuated.count);
+    update_mint_dc(front);
 }
 
 static void
@@ -31,6 +47,7 @@
     synchronize_rcu();
     members_free(old);
     log_event("members_in_force", "vms=%u", update->vms_count);
+    update_mint_dc(front);
 }
 
 static const agent_link_ops_t agent_ops = {.on_config = on_config,
@@ -46,6 +63,9 @@
     json_object_object_add(
         state, "draining",
         json_object_new_boolean(atomic_load(&front->is_draining)));
+    json_object_object_add(
+        state, "mint_dc",
+        json_object_new_uint64(atomic_load(&front->mint_dc)));
     rcu_read_lock();
     const members_t *members = rcu_dereference(front->members);
     json_object_object_add(state, "members",
@@ -90,12 +110,13 @@
                                  .describe = describe,
                                  .owner = front};
     front->members = members_create(0, NULL, 0);
+    atomic_store(&front->mint_dc, settings->here.dc);
     front->loop = loop_create();
     front->relay_count = settings->link_threads;
     front->relays = calloc(front->relay_count, sizeof(relay_t));
     for (uint32_t i = 0; i < front->relay_count; i++) {
         relay_init(&front->relays[i], settings, &front->members,
-                   &front->control.hello);
+                   &front->mint_dc, &front->control.hello);
     }
     front->agent = (agent_link_t){.loop = front->loop,
                                   .address = settings->here.address,
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -86,14 +86,14 @@
     return link->is_draining || (!link->is_ready && link->failure_count > 0);
 }
 
-/// Sends a mint to the first suitable dispatcher of the data centre, starting
-/// with the front's own VM. A dispatcher that cannot be connected to is used
-/// only if there is no other.
+/// Sends a mint to the first suitable dispatcher of the data centre for mints,
+/// starting with the front's own VM, or the one of the same number. A
+/// dispatcher that cannot be connected to is used only if there is no other.
 static void
 route_mint(call_t *call)
 {
     relay_t *relay = call->relay;
-    uint16_t dc = relay->settings->here.dc;
+    uint16_t dc = atomic_load(relay->mint_dc);
     dispatcher_link_t *fallback = NULL;
     for (;; call->peer_index++) {
         dispatcher_link_t *link =
@@ -211,10 +211,12 @@
 
 void
 relay_init(relay_t *relay, const front_settings_t *settings,
-           members_t *const *members, const hello_message_t *hello)
+           members_t *const *members, const _Atomic uint16_t *mint_dc,
+           const hello_message_t *hello)
 {
     *relay = (relay_t){.settings = settings,
                        .members = members,
+                       .mint_dc = mint_dc,
                        .hello = *hello,
                        .loop = loop_create(),
                        .arena = arena_create()};
--- a/src/front/relay.h
+++ b/src/front/relay.h
@@ -7,6 +7,7 @@
 
 #include <apr_hash.h>
 #include <apr_thread_proc.h>
+#include <stdatomic.h>
 
 #include "front/call.h"
 #include "front/id_pool.h"
@@ -40,6 +41,7 @@
 struct relay {
     const front_settings_t *settings;
     members_t *const *members; ///< read under RCU
+    const _Atomic uint16_t *mint_dc;
     hello_message_t hello;
     loop_t *loop;
     apr_thread_t *thread;
@@ -50,8 +52,11 @@
 };
 
 /// Initializes a relay, without starting its thread.
+///
+/// @param mint_dc  the data centre whose dispatchers mint ids
 void relay_init(relay_t *relay, const front_settings_t *settings,
-                members_t *const *members, const hello_message_t *hello);
+                members_t *const *members, const _Atomic uint16_t *mint_dc,
+                const hello_message_t *hello);
 
 /// Starts the relay's thread.
 void relay_run(relay_t *relay);
--- a/tests/unit/test_job.c
+++ b/tests/unit/test_job.c
@@ -48,6 +48,25 @@
     CU_ASSERT_EQUAL(tasks[0].try_count, 2);
 }
 
+/// Started tasks are waited for, so that the answer tells what they did.
+static void
+test_evacuation_ends_waiting_tasks(void)
+{
+    job_init(&job, tasks, 2, 100);
+    apply(kJobEventTaskStart, 0, 0, false);
+    CU_ASSERT_EQUAL(apply(kJobEventEvacuated, 0, 0, false),
+                    kJobActionDropWaiting);
+    CU_ASSERT_EQUAL(tasks[1].state, kTaskStateNotRun);
+    CU_ASSERT_EQUAL(tasks[1].kind, kErrorKindEvacuated);
+    CU_ASSERT_EQUAL(apply(kJobEventTaskStart, 1, 0, false), kJobActionIgnored);
+    CU_ASSERT_EQUAL(apply(kJobEventTryDone, 0, 0, false), kJobActionFinish);
+    CU_ASSERT_EQUAL(job.state, kJobStateFailed);
+    CU_ASSERT_EQUAL(job.kind, kErrorKindEvacuated);
+    job_init(&job, tasks, 2, 100);
+    CU_ASSERT_EQUAL(apply(kJobEventEvacuated, 0, 0, false),
+                    kJobActionDropWaiting | kJobActionFinish);
+}
+
 static void
 test_failure_waits_for_started(void)
 {
@@ -142,6 +161,8 @@
     static const CU_TestInfo tests[] = {
         {"complete", test_complete},
         {"retry", test_retry},
+        {"an evacuation ends waiting tasks",
+         test_evacuation_ends_waiting_tasks},
         {"failure waits for started tasks", test_failure_waits_for_started},
         {"deadline", test_deadline},
         {"random events", test_random_events},
