node, pool: owners that are cut off, hand over, or are too weak

(4) During a handover, up to 2.5 s, revoked partitions got no runs: 21 of 32 stood idle. The same cascade follows each restart of all nodes.

Change: pongs and outcomes tell the number of usable targets; a pool without any is the last choice. An owner whose joins the store has not answered for longer than a membership lasts says so, and counts as no owner, for nodes that reach the store themselves. A node is published as owner from its join on. Revoked partitions get runs that are expected to end before the handover, and short ones until the longest earlier run has ended. The number of owners follows from the part of the targets that the weakest of them can serve. Owners join again as soon as another has left.

--- a/src/node/catalog.c
+++ b/src/node/catalog.c
@@ -34,8 +34,8 @@
 }
 
 /// Adds a target to the pool if this node holds its partition, and removes it
-/// otherwise. A target of a revoked partition or of an evacuated data centre
-/// gets no new runs.
+/// otherwise. A target of an evacuated data centre gets no new runs, and one
+/// of a revoked partition only short ones until the handover.
 static void
 update_target(node_t *node, const catalog_target_t *target, int64_t now_ns)
 {
@@ -43,10 +43,13 @@
     uint64_t token = held->tokens[partitions_find(held, target->info.id)];
     if (token != 0) {
         pool_target_info_t info = target->info;
-        info.is_draining |=
-            held->is_revoked[partitions_find(held, target->info.id)] ||
-            !target->group->accepts_runs;
+        info.is_draining |= !target->group->accepts_runs;
         pool_put_target(node->pool, &info, token, now_ns);
+        pool_set_target_handover(
+            node->pool, info.id,
+            held->is_revoked[partitions_find(held, info.id)]
+                ? target->group->handover_ns
+                : INT64_MAX);
     }
     else {
         pool_drop_target(node->pool, target->info.id, now_ns);
--- a/src/node/clients.c
+++ b/src/node/clients.c
@@ -8,6 +8,7 @@
 #include "net/link_clock.h"
 #include "node/cancel.h"
 #include "node/coordinator.h"
+#include "node/owner.h"
 #include "node/target_feed.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -157,14 +158,16 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &ping_message_desc, arena, &ping, &err)) {
-        record_message(client, ping.sent_us, clock_now_ns());
-        pool_status_t status =
-            pool_read_status(client->node->pool, clock_now_ns());
+        int64_t now_ns = clock_now_ns();
+        record_message(client, ping.sent_us, now_ns);
+        pool_status_t status = pool_read_status(client->node->pool, now_ns);
         pong_message_t pong = {.number = ping.number,
                                .backlog_ms = status.backlog_ms,
                                .room = status.room.fitting_counts,
-                               .room_count =
-                                   status.target_count > 0 ? kRoomClasses : 0};
+                               .room_count = kRoomClasses,
+                               .target_count = status.target_count,
+                               .is_lapsed =
+                                   owner_is_lapsed(client->node, now_ns)};
         conn_send(client->conn, kMessagePong, &pong);
     }
     arena_destroy(arena);
@@ -295,7 +298,8 @@
                                  .free_mcores = status.free_mcores,
                                  .backlog_ms = status.backlog_ms,
                                  .room = status.room.fitting_counts,
-                                 .room_count = kRoomClasses};
+                                 .room_count = kRoomClasses,
+                                 .target_count = status.target_count};
     conn_send(client->conn, kMessageSettled, &message);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -331,6 +331,15 @@
     }
     losses_put_reported(pool_losses(node->pool), record->name, record->losses,
                         record->losses_count, node_update_now_ns(node));
+    const member_t *known = members_find(&node->members, record->name);
+    for (uint32_t i = 0; known != NULL && i < node->group_count; i++) {
+        if (member_owns_dc(known, node->groups[i].dc) &&
+            !record_has_pool(record, node->groups[i].dc)) {
+            // The store passes the partitions on with the next joins.
+            node->groups[i].join_due_ns = 0;
+            node_schedule_advance(node);
+        }
+    }
     peers_put(node, members_put(&node->members, record));
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -52,6 +52,7 @@
     int64_t surplus_since_ns;
     int64_t revoked_since_ns;   ///< since when there have been
                                 ///< revoked partitions; 0: none
+    int64_t handover_ns; ///< until when revoked partitions get short runs
     int64_t probe_reply_ns;     ///< last reply of one of its targets
     int64_t reachable_since_ns; ///< start of the current series
                                 ///< of answered probes
@@ -103,6 +104,8 @@
     uint64_t membership_version; ///< increases with each change that
                                  ///< memberships of groups depend on
     int64_t listed_ns; ///< when all members were first listed; 0: not yet
+    int64_t store_read_ns; ///< when the last answered read of the nodes'
+                           ///< records was sent
     bool is_restarted; ///< an earlier process of this node left a record
     member_t *self;
     int64_t republish_due_ns; ///< when to publish the record again because
@@ -198,6 +201,11 @@
 /// @param read_ns  when the read was sent
 void node_handle_targets_read(node_t *node, uint64_t offset, int64_t read_ns);
 
+/// The records of nodes have been read.
+///
+/// @param sent_ns  when the read was sent
+void node_handle_store_read(node_t *node, int64_t sent_ns);
+
 /// Changes of nodes that the platform reports.
 void node_put_member(node_t *node, const node_record_t *record);
 void node_remove_member(node_t *node, const char *name);
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -1,8 +1,10 @@
 #include "node/owner.h"
 
 #include <apr_strings.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/units.h"
 #include "node/catalog.h"
 #include "node/clients.h"
 #include "node/coordinator.h"
@@ -23,8 +25,16 @@
     /// The rest covers a coordinator that learns of the end late, after a
     /// pause that is too short to be noticed (kPauseThresholdMs).
     kOrphanPercent = 60,
+    kLapseSlackMs = 500, ///< beyond the time to live of a member: a join that
+                         ///< is repeated after a lost answer comes in time
+    kHandoverMs = 1000,  ///< for which revoked partitions still get runs
+    /// Revoked partitions get short runs for at least this long after each
+    /// check that has found earlier runs on them.
+    kHandoverStepMs = 250,
     kRevokeTimeoutMs = 2500, ///< for runs on revoked partitions to end
     kRevokeCheckMs = 40,     ///< between checks of these runs
+    kStoreReadTtlMs = 2500,  ///< a read of the store counts for this long;
+                             ///< one waits for 1.5 s at most
     kProbePeriodMs = 500,    ///< between probes of a data centre
     kProbeReplyTtlMs = 1300  ///< a reply counts for this long, so that one
                              ///< lost reply does no harm
@@ -43,6 +53,21 @@
     return false;
 }
 
+bool
+owner_is_lapsed(const node_t *node, int64_t now_ns)
+{
+    int64_t limit_ns =
+        MS_TO_NS((int64_t)node->settings->member_ttl_ms + kLapseSlackMs);
+    for (uint32_t i = 0; i < node->group_count; i++) {
+        const dc_group_t *group = &node->groups[i];
+        if (group->is_joined && group->confirmed_ns != 0 &&
+            now_ns - group->confirmed_ns > limit_ns) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 owner_has_partitions(const node_t *node)
 {
@@ -65,6 +90,19 @@
                : (uint32_t)kJoinRetryLimitMs;
 }
 
+/// Sets until when the targets of revoked partitions get runs.
+static void
+plan_handover(dc_group_t *group, int64_t now_ns)
+{
+    if (group->partitions.revoked_count == 0) {
+        group->revoked_since_ns = 0;
+    }
+    else if (group->revoked_since_ns == 0) {
+        group->revoked_since_ns = now_ns;
+        group->handover_ns = now_ns + MS_TO_NS(kHandoverMs);
+    }
+}
+
 void
 node_handle_join_reply(node_t *node, const char *dc, const join_reply_t *reply)
 {
@@ -101,52 +139,75 @@
     uint32_t held_before = partitions_count_held(&group->partitions);
     if (partitions_update(&group->partitions, reply->generation,
                           reply->partitions, reply->partition_count)) {
-        uint32_t held = partitions_count_held(&group->partitions);
         log_event("cells_changed", "dc=%s generation=%llu held=%u before=%u",
-                  dc, (unsigned long long)reply->generation, held,
-                  held_before);
+                  dc, (unsigned long long)reply->generation,
+                  partitions_count_held(&group->partitions), held_before);
+        plan_handover(group, now_ns);
         catalog_update_pool(node, group, now_ns);
-        if ((held == 0) != (held_before == 0)) {
-            record_publish(node);
-        }
     }
     node_schedule_advance(node);
 }
 
-/// Releases the revoked partitions whose targets have no run left, or all of
-/// them after kRevokeTimeoutMs.
+/// The runs on the targets of revoked partitions.
+typedef struct {
+    bool *is_busy;    ///< by partition: has runs
+    bool is_any_busy; ///< a revoked partition has runs
+    bool
+        has_old_runs; ///< runs that started before the partitions were revoked
+} revoked_runs_t;
+
+static revoked_runs_t
+read_revoked_runs(const node_t *node, const dc_group_t *group)
+{
+    const partitions_t *partitions = &group->partitions;
+    revoked_runs_t runs = {
+        .is_busy = calloc(partitions->count, sizeof *runs.is_busy)};
+    for (const catalog_target_t *target = node->catalog; target != NULL;
+         target = target->next) {
+        uint32_t at = partitions_find(partitions, target->info.id);
+        if (target->group != group || !partitions->is_revoked[at] ||
+            pool_count_target_runs(node->pool, target->info.id) == 0) {
+            continue;
+        }
+        runs.is_busy[at] = true;
+        runs.is_any_busy = true;
+        runs.has_old_runs |= pool_has_runs_since_before(
+            node->pool, target->info.id, group->revoked_since_ns);
+    }
+    return runs;
+}
+
+/// Releases revoked partitions. The store passes on all of them at once, so
+/// they are released together, and used for short runs until the longest of
+/// the earlier runs has ended. After kRevokeTimeoutMs, all are released.
 ///
 /// @return when to call it again
 static int64_t
 release_revoked(node_t *node, dc_group_t *group, int64_t now_ns)
 {
     partitions_t *partitions = &group->partitions;
+    plan_handover(group, now_ns);
     if (partitions->revoked_count == 0) {
-        group->revoked_since_ns = 0;
         return INT64_MAX;
     }
-    if (group->revoked_since_ns == 0) {
-        group->revoked_since_ns = now_ns;
-    }
-    bool is_timed_out = now_ns - group->revoked_since_ns >=
-                        (int64_t)kRevokeTimeoutMs * kNsPerMs;
-    bool *is_busy = calloc(partitions->count, sizeof *is_busy);
-    for (const catalog_target_t *target = node->catalog; target != NULL;
-         target = target->next) {
-        if (target->group == group) {
-            is_busy[partitions_find(partitions, target->info.id)] |=
-                pool_count_target_runs(node->pool, target->info.id) > 0;
-        }
+    int64_t end_ns = group->revoked_since_ns + MS_TO_NS(kRevokeTimeoutMs);
+    revoked_runs_t runs = read_revoked_runs(node, group);
+    if (runs.has_old_runs) {
+        int64_t later_ns = min_ns(now_ns + MS_TO_NS(kHandoverStepMs), end_ns);
+        group->handover_ns =
+            later_ns > group->handover_ns ? later_ns : group->handover_ns;
     }
+    bool is_due = !runs.is_any_busy || group->handover_ns <= now_ns;
     for (uint32_t i = 0; i < partitions->count; i++) {
-        if (partitions->is_revoked[i] && (is_timed_out || !is_busy[i])) {
+        if (partitions->is_revoked[i] &&
+            (end_ns <= now_ns || (is_due && !runs.is_busy[i]))) {
             partitions_release(partitions, i);
         }
     }
-    free(is_busy);
+    free(runs.is_busy);
     catalog_update_pool(node, group, now_ns);
     if (partitions->revoked_count > 0) {
-        return now_ns + (int64_t)kRevokeCheckMs * kNsPerMs;
+        return now_ns + MS_TO_NS(kRevokeCheckMs);
     }
     group->join_due_ns = now_ns;
     return now_ns;
@@ -226,6 +287,20 @@
     }
 }
 
+void
+node_handle_store_read(node_t *node, int64_t sent_ns)
+{
+    node->store_read_ns = sent_ns;
+}
+
+/// @return whether this node has reached the store lately: without it, it can
+///         replace no owner
+static bool
+is_store_reachable(const node_t *node, int64_t now_ns)
+{
+    return now_ns - node->store_read_ns < MS_TO_NS(kStoreReadTtlMs);
+}
+
 static candidate_t
 make_candidate(node_t *node, dc_group_t *group, int64_t now_ns)
 {
@@ -246,7 +321,9 @@
     uint32_t before_count =
         members_count_preferred_owners(&node->members, node->self, group->dc);
     track_since(&group->shortage_since_ns,
-                candidate.owner_count < required_count, now_ns);
+                candidate.owner_count < required_count &&
+                    is_store_reachable(node, now_ns),
+                now_ns);
     track_since(&group->surplus_since_ns, before_count >= required_count,
                 now_ns);
     candidate.reachable_since_ns =
@@ -262,13 +339,10 @@
     log_event("pool_left", "dc=%s reason=\"%s\"", group->dc, reason);
     group->is_joined = false;
     group->is_retiring = false;
-    bool had_partitions = partitions_count_held(&group->partitions) > 0;
     partitions_drop_all(&group->partitions);
     catalog_update_pool(node, group, node_update_now_ns(node));
     node->adapter_ops->leave(node->adapter, group->dc, node->member_id);
-    if (had_partitions) {
-        record_publish(node);
-    }
+    record_publish(node);
 }
 
 /// Revokes all partitions of this node in a group that has enough other
@@ -282,8 +356,8 @@
         group->is_retiring = true;
         partitions_update(&group->partitions,
                           group->partitions.newest_generation, NULL, 0);
+        plan_handover(group, now_ns);
         catalog_update_pool(node, group, now_ns);
-        record_publish(node);
     }
     release_revoked(node, group, now_ns);
     if (group->partitions.revoked_count == 0) {
@@ -302,9 +376,8 @@
         return INT64_MAX;
     }
     if (group->is_retiring) {
-        // Partitions are released one by one as their runs end. The decision
-        // to leave stands whatever other nodes do meanwhile: this node has
-        // already published that it owns no partition.
+        // The decision to leave stands whatever other nodes do meanwhile: the
+        // handover has begun.
         retire_from_group(node, group, now_ns);
         return now_ns + (int64_t)kRevokeCheckMs * kNsPerMs;
     }
@@ -321,6 +394,9 @@
                   candidate.owner_count);
         group->is_joined = true;
         group->join_due_ns = now_ns;
+        // Published before it holds partitions, which takes a handover: more
+        // nodes would join in the meantime, each with a handover of its own.
+        record_publish(node);
         return now_ns;
     }
     int64_t leave_ns = candidate_leave_ns(&candidate);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -27,6 +27,10 @@
 ///         may get new runs
 bool owner_accepts_runs(const node_t *node);
 
+/// @return whether the store may have passed this node's partitions on: it has
+///         not answered its joins for longer than a membership lasts
+bool owner_is_lapsed(const node_t *node, int64_t now_ns);
+
 /// @return whether this node holds a partition of any data centre
 bool owner_has_partitions(const node_t *node);
 
--- a/src/node/peer_plan.c
+++ b/src/node/peer_plan.c
@@ -163,6 +163,7 @@
         member_t *member =
             peer->has_record ? members_find(&node->members, peer->name) : NULL;
         if (member != NULL) {
+            member->is_lapsed = peer->is_lapsed;
             member->is_reachable =
                 peer->is_up || (peer->link_failures == 0 &&
                                 (peer->is_wanted || peer->is_local ||
--- a/src/node/peer_state.h
+++ b/src/node/peer_state.h
@@ -34,6 +34,8 @@
     int64_t load_received_ns; ///< when the pool's load was last received; 0:
                               ///< never
     room_t room;              ///< as received, minus what was assigned since
+    bool has_targets;         ///< its pool may start tasks
+    bool is_lapsed;           ///< its partitions may have been passed on
     uint32_t backlog_ms;
     link_clock_t clock; ///< of the peer, on the current link
 };
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -52,15 +52,36 @@
     peer_plan_invalidate(peer->node);
 }
 
+/// The load of a pool, from its owner.
+typedef struct {
+    uint32_t backlog_ms;
+    const uint32_t *room;
+    uint32_t room_count;
+    uint32_t target_count;
+} pool_load_t;
+
 static void
-record_load(peer_t *peer, uint32_t backlog_ms, const uint32_t *room,
-            uint32_t room_count)
+record_load(peer_t *peer, const pool_load_t *load)
 {
-    peer->load_received_ns = room_count > 0 ? clock_now_ns() : 0;
-    peer->backlog_ms = backlog_ms;
+    peer->load_received_ns = clock_now_ns();
+    peer->backlog_ms = load->backlog_ms;
+    peer->has_targets = load->target_count > 0;
     peer->room = (room_t){0};
-    for (uint32_t i = 0; i < room_count && i < kRoomClasses; i++) {
-        peer->room.fitting_counts[i] = room[i];
+    for (uint32_t i = 0; i < load->room_count && i < kRoomClasses; i++) {
+        peer->room.fitting_counts[i] = load->room[i];
+    }
+}
+
+/// Updates whether the partitions of an owner may have been passed on. Nodes
+/// that may replace it decide on their membership anew.
+static void
+record_lapse(peer_t *peer, bool is_lapsed)
+{
+    if (peer->is_lapsed != is_lapsed) {
+        peer->is_lapsed = is_lapsed;
+        log_event(is_lapsed ? "owner_lapsed" : "owner_confirmed", "peer=%s",
+                  peer->name);
+        peer_plan_invalidate(peer->node);
     }
 }
 
@@ -71,7 +92,12 @@
     error_info_t err = {0};
     arena_t *arena = arena_create();
     if (pack_read_message(body, &pong_message_desc, arena, &pong, &err)) {
-        record_load(peer, pong.backlog_ms, pong.room, pong.room_count);
+        pool_load_t load = {.backlog_ms = pong.backlog_ms,
+                            .room = pong.room,
+                            .room_count = pong.room_count,
+                            .target_count = pong.target_count};
+        record_load(peer, &load);
+        record_lapse(peer, pong.is_lapsed);
     }
     arena_destroy(arena);
 }
@@ -92,7 +118,11 @@
     if (peer->order_count > 0) {
         peer->order_count--;
     }
-    record_load(peer, message.backlog_ms, message.room, message.room_count);
+    pool_load_t load = {.backlog_ms = message.backlog_ms,
+                        .room = message.room,
+                        .room_count = message.room_count,
+                        .target_count = message.target_count};
+    record_load(peer, &load);
     pool_order_result_t settled = {.request = message.request,
                                    .outcome = message.outcome,
                                    .kind = message.kind,
@@ -150,6 +180,7 @@
     }
     peer->conn = NULL;
     peer->is_up = false;
+    peer->is_lapsed = false;
     peer->clock = (link_clock_t){0};
     peer->order_count = 0;
     peer->link_failures++;
@@ -408,6 +439,7 @@
                                    .backlog_ms = status.backlog_ms,
                                    .is_self = true,
                                    .is_local = true,
+                                   .has_no_targets = status.target_count == 0,
                                    .pool = node},
                    &need);
     }
@@ -417,13 +449,15 @@
         }
         bool is_fresh =
             now_ns - peer->load_received_ns < (int64_t)kLoadTtlMs * kNsPerMs;
-        choice_add(&choice,
-                   &(pool_offer_t){.room = is_fresh ? &peer->room : NULL,
-                                   .backlog_ms = peer->backlog_ms,
-                                   .is_local = peer->is_local,
-                                   .is_stopping = peer->is_leaving,
-                                   .pool = peer},
-                   &need);
+        choice_add(
+            &choice,
+            &(pool_offer_t){.room = is_fresh ? &peer->room : NULL,
+                            .backlog_ms = peer->backlog_ms,
+                            .is_local = peer->is_local,
+                            .is_stopping = peer->is_leaving,
+                            .has_no_targets = is_fresh && !peer->has_targets,
+                            .pool = peer},
+            &need);
     }
     *is_self = choice.best == node;
     return *is_self ? NULL : choice.best;
--- a/src/node/record.c
+++ b/src/node/record.c
@@ -42,7 +42,7 @@
                             .losses_count =
                                 losses_report(losses, lost, now_ns)};
     for (uint32_t i = 0; i < node->group_count && i < kMaxPools; i++) {
-        if (partitions_count_held(&node->groups[i].partitions) > 0) {
+        if (node->groups[i].is_joined) {
             pools[record.pools_count++] = node->groups[i].dc;
         }
     }
--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -9,17 +9,20 @@
 enum {
     kPropagationMs = 1200, ///< until all nodes know of a new owner
     kRankDelayMs = 500,    ///< added for each rank beyond wanted_count
+    /// The same while the data centre has no owner at all.
+    kUrgentPropagationMs = 400,
+    kUrgentRankDelayMs = 200,
     kRemoteDelayMs = 3000, ///< added for nodes of other data centres
     /// How long remote targets must have been reachable: after a network split
     /// ends, their local owners take up to 2 s to return.
     kStableReachableMs = 2500,
-    kStrongDivisor = 2,    ///< a strong node has this part of the largest core
-                           ///< share in its data centre
-    kMaxTargetsFactor = 2, ///< of targets_per_owner, for a strong node instead
-                           ///< of weaker owners beside it
-    kPrepareMs = 4200,     ///< before a node of another data centre joins:
-                           ///< kStableReachableMs, a list and some probes
-    kLeaveDelayMs = 5000,  ///< from a surplus of owners until one leaves
+    kStrongDivisor = 2,   ///< a strong node has this part of the largest core
+                          ///< share in its data centre
+    kTargetCoreMilli = 4, ///< share of a core that an owner needs for each of
+                          ///< its targets under full load, with a reserve
+    kPrepareMs = 4200,    ///< before a node of another data centre joins:
+                          ///< kStableReachableMs, a list and some probes
+    kLeaveDelayMs = 5000, ///< from a surplus of owners until one leaves
     /// How long a new node waits for others that start at the same time; all
     /// machines start within 300 ms.
     kStartupWaitMs = 500
@@ -103,16 +106,22 @@
 }
 
 bool
-member_owns_dc(const member_t *member, const char *dc)
+record_has_pool(const node_record_t *record, const char *dc)
 {
-    for (uint32_t i = 0; i < member->record->pools_count; i++) {
-        if (strcmp(member->record->pools[i], dc) == 0) {
+    for (uint32_t i = 0; i < record->pools_count; i++) {
+        if (strcmp(record->pools[i], dc) == 0) {
             return true;
         }
     }
     return false;
 }
 
+bool
+member_owns_dc(const member_t *member, const char *dc)
+{
+    return record_has_pool(member->record, dc);
+}
+
 bool
 members_rank_before(const node_record_t *left, const node_record_t *right,
                     const char *dc)
@@ -145,7 +154,7 @@
 static bool
 is_other_owner(const member_t *member, const char *dc)
 {
-    return !member->is_self && member->is_reachable &&
+    return !member->is_self && member->is_reachable && !member->is_lapsed &&
            !member->record->is_leaving && member_owns_dc(member, dc);
 }
 
@@ -190,21 +199,37 @@
     return count;
 }
 
-/// @return how many nodes of a data centre have at least half of the core
-/// share
-///         of its strongest node
+/// @return the core share of the available node of a data centre that ranks
+///         at a position; 0 if there are fewer
 static uint32_t
-count_strong(const members_t *members, const char *dc)
+find_ranked_core_milli(const members_t *members, const char *dc, uint32_t rank)
 {
-    uint32_t largest_milli = 0;
-    uint32_t count = 0;
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
-        if (is_available_in_dc(member, dc) &&
-            member->record->core_share_milli > largest_milli) {
-            largest_milli = member->record->core_share_milli;
+        uint32_t before_count = 0;
+        if (!is_available_in_dc(member, dc)) {
+            continue;
+        }
+        for (const member_t *other = members->first; other != NULL;
+             other = other->next) {
+            before_count +=
+                other != member && is_available_in_dc(other, dc) &&
+                members_rank_before(other->record, member->record, dc);
+        }
+        if (before_count == rank) {
+            return member->record->core_share_milli;
         }
     }
+    return 0;
+}
+
+/// @return how many nodes of a data centre have at least half of the core
+///         share of its strongest node
+static uint32_t
+count_strong(const members_t *members, const char *dc)
+{
+    uint32_t largest_milli = find_ranked_core_milli(members, dc, 0);
+    uint32_t count = 0;
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
         count +=
@@ -214,20 +239,39 @@
     return count;
 }
 
+/// The store gives each owner an equal part of the targets.
+///
+/// @return the least number of owners, in order of rank, whose weakest has
+///         enough of a core for its part; `limit` if no number has
+static uint32_t
+count_sufficient(const members_t *members, const char *dc,
+                 uint32_t target_count, uint32_t limit)
+{
+    for (uint32_t count = 1; count < limit; count++) {
+        uint32_t weakest_milli =
+            find_ranked_core_milli(members, dc, count - 1);
+        if (target_count * kTargetCoreMilli <= weakest_milli * count) {
+            return count;
+        }
+    }
+    return limit;
+}
+
 uint32_t
 members_decide_owner_count(const members_t *members, const char *dc,
                            uint32_t target_count, uint32_t targets_per_owner)
 {
     uint32_t available = members_count_in_dc(members, dc);
-    uint32_t wanted =
-        (target_count + targets_per_owner / 2) / targets_per_owner;
-    uint32_t most_targets = targets_per_owner * kMaxTargetsFactor;
-    uint32_t least = (target_count + most_targets - 1) / most_targets;
+    uint32_t most = (target_count + targets_per_owner / 2) / targets_per_owner;
+    most = most > 1 ? most : 1;
+    if (available == 0) {
+        return most;
+    }
+    uint32_t sufficient = count_sufficient(members, dc, target_count, most);
     uint32_t strong = count_strong(members, dc);
-    uint32_t limit = strong > least ? strong : least;
-    wanted = wanted > limit && available > 0 ? limit : wanted;
-    wanted = wanted > available && available > 0 ? available : wanted;
-    return wanted < 1 ? 1 : wanted;
+    uint32_t wanted = sufficient > strong ? sufficient : strong;
+    wanted = wanted < most ? wanted : most;
+    return wanted < available ? wanted : available;
 }
 
 /// @return when a new node stops waiting for the others; 0 for a restarted one
@@ -247,7 +291,10 @@
     uint32_t excess_rank = candidate->rank < candidate->wanted_count
                                ? 0
                                : candidate->rank - candidate->wanted_count;
-    return MS_TO_NS(kPropagationMs + (int64_t)kRankDelayMs * excess_rank +
+    bool is_urgent = candidate->owner_count == 0 && candidate->is_local;
+    int64_t first_ms = is_urgent ? kUrgentPropagationMs : kPropagationMs;
+    int64_t step_ms = is_urgent ? kUrgentRankDelayMs : kRankDelayMs;
+    return MS_TO_NS(first_ms + step_ms * excess_rank +
                     (candidate->is_local ? 0 : kRemoteDelayMs));
 }
 
--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -16,6 +16,7 @@
     const node_record_t *record;
     bool is_self;
     bool is_reachable;           ///< its link is up, or has not been tried yet
+    bool is_lapsed;              ///< the store may have passed its partitions on
     uint32_t missed_hello_count; ///< consecutive hellos without an answer
 } member_t;
 
@@ -42,6 +43,9 @@
 bool member_matches_record(const member_t *member,
                            const node_record_t *record);
 
+/// @return whether a record says that its node owns targets of a data centre
+bool record_has_pool(const node_record_t *record, const char *dc);
+
 /// @return whether a member owns targets of a data centre
 bool member_owns_dc(const member_t *member, const char *dc);
 
@@ -66,10 +70,11 @@
 /// @return how many members are located in a data centre and not leaving
 uint32_t members_count_in_dc(const members_t *members, const char *dc);
 
-/// Decides how many owners the targets of a data centre need: one for each
-/// `targets_per_owner`, but no nodes with a small share of a core as long as
-/// the others have few enough targets each. A partition is as large for a weak
-/// node as for a strong one, and under load the weak one is late.
+/// Decides how many owners the targets of a data centre need: at most one for
+/// each `targets_per_owner`, but no nodes with a small share of a core as long
+/// as the others can serve all targets. A partition is as large for a weak node
+/// as for a strong one, and under load the weak one is late. Fewer owners also
+/// make better use of the targets: more of them are seen by each.
 uint32_t members_decide_owner_count(const members_t *members, const char *dc,
                                     uint32_t target_count,
                                     uint32_t targets_per_owner);
--- a/src/pool/choice.c
+++ b/src/pool/choice.c
@@ -8,6 +8,7 @@
     kRemotePenaltyMs = 8,      ///< for a pool of another data centre
     kUnknownRoomPenaltyMs = 4, ///< for a pool that has not told its load
     kStoppingPenaltyMs = 1000,
+    kNoTargetsPenaltyMs = 2000, ///< it refuses what a stopping one may accept
     /// The own pool costs no messages: it is preferred if it has room for this
     /// many times the job.
     kOwnRoomFactor = 2,
@@ -57,7 +58,8 @@
 choice_estimate_wait_ms(const pool_offer_t *offer, const job_need_t *need)
 {
     int64_t wait_ms = (offer->is_local ? 0 : kRemotePenaltyMs) +
-                      (offer->is_stopping ? kStoppingPenaltyMs : 0);
+                      (offer->is_stopping ? kStoppingPenaltyMs : 0) +
+                      (offer->has_no_targets ? kNoTargetsPenaltyMs : 0);
     if (offer->room == NULL) {
         return wait_ms + kUnknownRoomPenaltyMs;
     }
--- a/src/pool/choice.h
+++ b/src/pool/choice.h
@@ -44,6 +44,7 @@
     bool is_self;        ///< of the coordinator's own node
     bool is_local;       ///< in the coordinator's data centre
     bool is_stopping;    ///< takes orders only while there is no other owner
+    bool has_no_targets; ///< refuses orders at present
     void *pool;          ///< for pool_choice_t.best
 } pool_offer_t;
 
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -291,7 +291,7 @@
     if (pool->is_closed) {
         return kErrorKindDraining;
     }
-    if (!place_can_ever_fit(pool, order)) {
+    if (!place_can_ever_fit(pool, order, now_ns)) {
         return place_has_ready_target(pool) ? kErrorKindNoFit
                                             : kErrorKindNoDispatcher;
     }
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -11,7 +11,9 @@
     /// have caused.
     kFailureFactorPermille = 1300,
     /// Of the score, added to it in proportion to the cores left unused.
-    kUnusedPenaltyPermille = 50
+    kUnusedPenaltyPermille = 50,
+    /// Multiple of its expected time in which a run has ended almost always.
+    kHandoverMarginFactor = 2
 };
 
 static resources_t
@@ -131,6 +133,17 @@
     return care == kCareAlone || !target->is_reserved;
 }
 
+/// @return whether a run that starts now is expected to have ended when its
+///         target passes to another owner
+static bool
+ends_before_handover(const pool_target_t *target, int64_t expected_ns,
+                     int64_t now_ns)
+{
+    return target->handover_ns == INT64_MAX ||
+           now_ns + kHandoverMarginFactor * expected_ns <=
+               target->handover_ns;
+}
+
 /// The best placement found for a task.
 typedef struct {
     pool_target_t *target; ///< where the task fits now, or NULL
@@ -160,6 +173,7 @@
             choice.fastest_ns = expected_ns;
         }
         if (score < choice.score_ns && fits(&available, step) &&
+            ends_before_handover(target, expected_ns, now_ns) &&
             is_within_target_limit(target, task, step) &&
             is_within_care(target, care)) {
             choice.target = target;
@@ -298,7 +312,8 @@
 {
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (target->session == kSessionReady && !target->info.is_draining) {
+        if (target->session == kSessionReady && !target->info.is_draining &&
+            target->handover_ns == INT64_MAX) {
             return true;
         }
     }
@@ -306,15 +321,18 @@
 }
 
 bool
-place_can_ever_fit(const pool_t *pool, const order_t *order)
+place_can_ever_fit(const pool_t *pool, const order_t *order, int64_t now_ns)
 {
     for (uint32_t i = 0; i < order->steps_count; i++) {
         bool is_found = false;
         for (const pool_target_t *target = pool->first_target;
              target != NULL && !is_found; target = target->next) {
             resources_t capacity = read_capacity(target);
+            int64_t run_ns =
+                place_estimate_run_ns(order->steps[i].estimate_ms, target);
             is_found = target->session == kSessionReady &&
                        !target->is_dropped && !target->info.is_draining &&
+                       ends_before_handover(target, run_ns, now_ns) &&
                        is_allowed(target, order, &order->steps[i]) &&
                        fits(&capacity, &order->steps[i]);
         }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -99,6 +99,30 @@
     return target == NULL ? 0 : target->run_count;
 }
 
+bool
+pool_has_runs_since_before(const pool_t *pool, const char *id, int64_t time_ns)
+{
+    const pool_target_t *target = find_target(pool, id);
+    if (target == NULL) {
+        return false;
+    }
+    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        if (run->started_ns <= time_ns) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+pool_set_target_handover(pool_t *pool, const char *id, int64_t handover_ns)
+{
+    pool_target_t *target = find_target(pool, id);
+    if (target != NULL) {
+        target->handover_ns = handover_ns;
+    }
+}
+
 static void
 add_target(pool_t *pool, const pool_target_info_t *info, uint64_t token,
            int64_t now_ns)
@@ -109,6 +133,7 @@
                               .token = token,
                               .clock_ns = now_ns,
                               .list_due_ns = now_ns,
+                              .handover_ns = INT64_MAX,
                               .slowness_permille = kNominalPermille};
     apr_hash_set(pool->targets, target->info.id, APR_HASH_KEY_STRING, target);
     target->prev = pool->last_target;
@@ -274,7 +299,8 @@
                             .backlog_ms = wait_backlog_ms(pool, UINT32_MAX)};
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (!session_accepts_starts(pool, target, now_ns)) {
+        if (!session_accepts_starts(pool, target, now_ns) ||
+            target->handover_ns <= now_ns) {
             continue;
         }
         status.target_count++;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -185,6 +185,18 @@
 /// @return the number of runs that hold resources of a target
 uint32_t pool_count_target_runs(const pool_t *pool, const char *id);
 
+/// @return whether a target has runs that were started before a time
+bool pool_has_runs_since_before(const pool_t *pool, const char *id,
+                                int64_t time_ns);
+
+/// Sets when a target passes to another owner: until then it gets only tasks
+/// that are expected to have ended by that time. So its capacity is used while
+/// its long runs end.
+///
+/// @param handover_ns  INT64_MAX for a target that stays
+void pool_set_target_handover(pool_t *pool, const char *id,
+                              int64_t handover_ns);
+
 /// Accepts an order, or refuses it at once through settle. If the job already
 /// has an order here, that order continues with the new deadline and its
 /// result goes to the new client.
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -112,6 +112,8 @@
     uint64_t token;
     session_state_t session;
     bool is_dropped; ///< freed once it has no pending calls and no runs
+    /// When it passes to another owner; INT64_MAX for one that stays.
+    int64_t handover_ns;
     bool is_fenced;  ///< rejects the token; waits for a higher one
     /// Gets no runs in the current placement pass, so that it becomes free for
     /// a task that must run alone.
@@ -309,7 +311,8 @@
 resources_t place_read_free(const pool_target_t *target);
 bool place_has_ready_target(const pool_t *pool);
 /// @return whether each step of an order fits a ready target without runs
-bool place_can_ever_fit(const pool_t *pool, const order_t *order);
+bool place_can_ever_fit(const pool_t *pool, const order_t *order,
+                        int64_t now_ns);
 /// @return the expected run time on a target, whose slowness is included
 int64_t place_estimate_run_ns(uint32_t estimate_ms,
                               const pool_target_t *target);
--- a/tests/unit/test_choice.c
+++ b/tests/unit/test_choice.c
@@ -170,6 +170,33 @@
               choice_estimate_wait_ms(&stopping, &pair));
 }
 
+/// An owner that was cut off from the store has lost its targets, and refuses:
+/// a full pool, where the job can wait, is better, and so is one that has not
+/// told its load.
+static void
+test_pool_without_targets_is_last(void)
+{
+    rng_t rng = {.state = 1};
+    int lapsed = 0;
+    int full = 0;
+    room_t none = {0};
+    for (uint32_t i = 0; i < 2; i++) {
+        pool_choice_t choice = {.rng = &rng};
+        choice_add(&choice,
+                   &(pool_offer_t){.room = &none,
+                                   .is_local = true,
+                                   .has_no_targets = true,
+                                   .pool = &lapsed},
+                   &pair);
+        choice_add(&choice,
+                   &(pool_offer_t){.room = i == 0 ? &none : NULL,
+                                   .backlog_ms = 300,
+                                   .pool = &full},
+                   &pair);
+        CU_ASSERT_PTR_EQUAL(choice.best, &full);
+    }
+}
+
 int
 main(void)
 {
@@ -182,6 +209,8 @@
         {"local pool with room", test_local_pool_with_room},
         {"own pool with spare room", test_own_pool_with_spare_room},
         {"disadvantages", test_disadvantages},
+        {"a pool without targets is the last choice",
+         test_pool_without_targets_is_last},
         CU_TEST_INFO_NULL,
     };
     return suite_run("choice", tests);
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -4,6 +4,7 @@
 #include <apr_general.h>
 
 #include "base/units.h"
+#include "node/record.h"
 #include "runtime/clock.h"
 #include "support/suite.h"
 
@@ -19,6 +20,7 @@
                                          .callers = "127.0.0.1:1",
                                          .resubmit_ms = 1300,
                                          .hold_limit_ms = 1000,
+                                         .member_ttl_ms = 1000,
                                          .partition_count = kPartitionCount};
 
 /// Lets a node with an unanswered join find that it was paused.
@@ -73,6 +75,37 @@
     CU_ASSERT(group->join_due_ns <= clock_now_ns());
 }
 
+/// An owner that gets no answers to its joins says so before the store's
+/// assignment to others is old.
+static void
+test_unconfirmed_membership_lapses(void)
+{
+    arena_t *arena = arena_create();
+    node_t *node = node_create(&settings, arena);
+    int64_t now_ns = clock_now_ns();
+    node->groups[0].confirmed_ns = now_ns;
+    CU_ASSERT_FALSE(owner_is_lapsed(node, now_ns + MS_TO_NS(5000)));
+    node->groups[0].is_joined = true;
+    CU_ASSERT_FALSE(owner_is_lapsed(node, now_ns + MS_TO_NS(1000)));
+    CU_ASSERT_TRUE(owner_is_lapsed(node, now_ns + MS_TO_NS(2000)));
+}
+
+/// Nodes join one after the other while the first one's runs hold up the
+/// handover: each is published as an owner before it holds a partition, so
+/// that no more nodes join.
+static void
+test_joined_node_is_published(void)
+{
+    arena_t *arena = arena_create();
+    node_t *node = node_create(&settings, arena);
+    node->groups[0].is_joined = true;
+    record_publish(node);
+    CU_ASSERT_TRUE(member_owns_dc(node->self, "dc1"));
+    node->groups[0].is_joined = false;
+    record_publish(node);
+    CU_ASSERT_FALSE(member_owns_dc(node->self, "dc1"));
+}
+
 int
 main(void)
 {
@@ -81,6 +114,9 @@
          test_join_reply_from_before_pause},
         {"memberships are renewed after a pause",
          test_memberships_are_renewed_after_pause},
+        {"an unconfirmed membership lapses",
+         test_unconfirmed_membership_lapses},
+        {"a node that has joined is published", test_joined_node_is_published},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -616,6 +616,62 @@
     }
 }
 
+static void
+hand_over_all(int64_t handover_ns)
+{
+    for (uint32_t i = 0; i < sim.target_count; i++) {
+        pool_set_target_handover(sim.pools[0], sim.targets[i].info.id,
+                                 handover_ns);
+    }
+}
+
+/// A surge while targets wait for their long runs to end before they pass to
+/// another owner: they would stand idle for seconds.
+static void
+test_short_runs_fill_a_handover(void)
+{
+    create_sim(2, 1);
+    hand_over_all(sim.now_ns + MS_TO_NS(1000));
+    sim_submit_equal(&sim, 0, "a", 4, 100, 0);
+    run_for_ms(50);
+    CU_ASSERT_EQUAL(count_running(), 4);
+    run_for_ms(750);
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeComplete], 1);
+    // Too late to end before the handover, with the usual error of estimates.
+    sim_submit_equal(&sim, 0, "b", 1, 150, 0);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(count_running(), 0);
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeRefused], 1);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    2);
+    run_for_ms(200);
+    CU_ASSERT_EQUAL(pool_read_status(sim.pools[0], sim.now_ns).target_count,
+                    0);
+    hand_over_all(INT64_MAX);
+    sim_submit_equal(&sim, 0, "c", 1, 150, 0);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(count_running(), 1);
+    sim_clear(&sim);
+}
+
+/// The longest run of a target holds up its handover, not those that fill it.
+static void
+test_earlier_runs_are_told_apart(void)
+{
+    create_sim(1, 1);
+    const char *id = sim.targets[0].info.id;
+    sim_submit_equal(&sim, 0, "a", 1, 100, 0);
+    run_for_ms(20);
+    int64_t revoked_ns = sim.now_ns;
+    sim_submit_equal(&sim, 0, "b", 1, 100, 0);
+    run_for_ms(20);
+    CU_ASSERT_TRUE(pool_has_runs_since_before(sim.pools[0], id, revoked_ns));
+    run_for_ms(70);
+    CU_ASSERT_EQUAL(pool_count_target_runs(sim.pools[0], id), 1);
+    CU_ASSERT_FALSE(pool_has_runs_since_before(sim.pools[0], id, revoked_ns));
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -658,6 +714,8 @@
         {"lost calls delay few jobs", test_lost_calls_delay_few_jobs},
         {"no duplicate runs under faults",
          test_no_duplicate_runs_under_faults},
+        {"short runs fill a handover", test_short_runs_fill_a_handover},
+        {"earlier runs are told apart", test_earlier_runs_are_told_apart},
         CU_TEST_INFO_NULL,
     };
     return suite_run("pool", tests);
