pool: a task too long for a handover holds up no shorter ones

Cause: in a placement pass, the first task for which no target has the resources ends the search for all tasks of its size and larger. Since targets get short runs during a handover, a task also finds no target because it would not end in time, and counted as such: in a surge of mixed tasks, one long task first in line left the targets of revoked partitions idle, as before.

Change: lack of time is told apart from lack of resources.

--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -140,8 +140,7 @@
                      int64_t now_ns)
 {
     return target->handover_ns == INT64_MAX ||
-           now_ns + kHandoverMarginFactor * expected_ns <=
-               target->handover_ns;
+           now_ns + kHandoverMarginFactor * expected_ns <= target->handover_ns;
 }
 
 /// The best placement found for a task.
@@ -150,6 +149,8 @@
     int64_t score_ns;
     int64_t expected_ns;
     int64_t fastest_ns; ///< on the fastest allowed target, full or not
+    /// A target has the resources, but passes to another owner too soon.
+    bool is_short_of_time;
 } choice_t;
 
 static choice_t
@@ -172,8 +173,11 @@
         if (expected_ns < choice.fastest_ns) {
             choice.fastest_ns = expected_ns;
         }
+        if (!ends_before_handover(target, expected_ns, now_ns)) {
+            choice.is_short_of_time |= fits(&available, step);
+            continue;
+        }
         if (score < choice.score_ns && fits(&available, step) &&
-            ends_before_handover(target, expected_ns, now_ns) &&
             is_within_target_limit(target, task, step) &&
             is_within_care(target, care)) {
             choice.target = target;
@@ -268,7 +272,8 @@
             continue;
         }
         if (choice.target == NULL) {
-            if (step->constraint[0] == '\0' && step->per_target_limit == 0) {
+            if (step->constraint[0] == '\0' && step->per_target_limit == 0 &&
+                !choice.is_short_of_time) {
                 *blocked_mcores = step->cpu_mcores;
             }
             return;
--- /dev/null
+++ b/tests/unit/test_place.c
@@ -0,0 +1,100 @@
+/// Placement while targets are handed over to another owner.
+#include <apr_general.h>
+
+#include "pool/state.h"
+#include "support/sim.h"
+#include "support/suite.h"
+
+enum {
+    kLargeMcores = 14000, ///< two fit on a target
+    kLeftMs = 3000
+};
+
+static sim_t sim;
+
+static int64_t
+work_100ms(sim_t *simulation, const run_name_t *name)
+{
+    (void)simulation;
+    (void)name;
+    return MS_TO_NS(100);
+}
+
+static void
+run_for_ms(int64_t ms)
+{
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(ms));
+}
+
+static void
+create_sim(uint32_t target_count)
+{
+    sim_init(&sim, target_count, 1);
+    sim.work_ns = work_100ms;
+    sim_assign_targets(&sim, 0, 5);
+    run_for_ms(50);
+}
+
+static void
+submit(const char *job, uint32_t task_count, uint32_t estimate_ms)
+{
+    order_step_t step = {.task_count = task_count,
+                         .cpu_mcores = kLargeMcores,
+                         .memory_mb = 64,
+                         .estimate_ms = estimate_ms,
+                         .constraint = "",
+                         .data_rack = ""};
+    order_t order = {.job = job,
+                     .service = "s",
+                     .queue = "q",
+                     .payload = "p",
+                     .attempt_limit = 3,
+                     .slo_ms = kLeftMs,
+                     .stretch_permille = 1600,
+                     .left_ms = kLeftMs,
+                     .steps = &step,
+                     .steps_count = 1};
+    sim_submit(&sim, 0, &order);
+}
+
+static void
+hand_over(uint32_t target, int64_t in_ms)
+{
+    pool_set_target_handover(sim.pools[0], sim.targets[target].info.id,
+                             sim.now_ns + MS_TO_NS(in_ms));
+}
+
+/// A surge of mixed tasks during a handover: a long one is first in line, and
+/// no target has the time for it. Targets have the resources for the short
+/// ones behind it, which are of the same size.
+static void
+test_long_task_does_not_block_short_ones(void)
+{
+    create_sim(1);
+    submit("a", 2, 100);
+    run_for_ms(20);
+    submit("b", 1, 400);
+    submit("c", 1, 100);
+    hand_over(0, 500);
+    run_for_ms(150);
+    CU_ASSERT_EQUAL(sim.targets[0].run_count, 1);
+    run_for_ms(150);
+    CU_ASSERT_EQUAL(sim.counts.starts, 3);
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeComplete], 2);
+    hand_over(0, kLeftMs);
+    run_for_ms(200);
+    CU_ASSERT_EQUAL(sim.counts.starts, 4);
+    sim_clear(&sim);
+}
+
+int
+main(void)
+{
+    apr_initialize();
+    const CU_TestInfo tests[] = {
+        {"a long task does not block short ones",
+         test_long_task_does_not_block_short_ones},
+        CU_TEST_INFO_NULL,
+    };
+    return suite_run("place", tests);
+}
