pool: a task doesn't wait for a faster target that is handed over

Cause: a task that would be late on a free target waits if a faster target could still be in time. Targets to be handed over too soon for the task counted as such, so it waited for one that its pool was about to lose.

test_place, "no wait for a target that is handed over": no run before, one after.

--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -148,7 +148,7 @@
     pool_target_t *target; ///< where the task fits now, or NULL
     int64_t score_ns;
     int64_t expected_ns;
-    int64_t fastest_ns; ///< on the fastest allowed target, full or not
+    int64_t fastest_ns; ///< on the fastest target with the time, full or not
     /// A target has the resources, but passes to another owner too soon.
     bool is_short_of_time;
 } choice_t;
@@ -170,13 +170,13 @@
         int64_t expected_ns = 0;
         int64_t score =
             score_ns(pool, task, step, target, &available, &expected_ns);
-        if (expected_ns < choice.fastest_ns) {
-            choice.fastest_ns = expected_ns;
-        }
         if (!ends_before_handover(target, expected_ns, now_ns)) {
             choice.is_short_of_time |= fits(&available, step);
             continue;
         }
+        if (expected_ns < choice.fastest_ns) {
+            choice.fastest_ns = expected_ns;
+        }
         if (score < choice.score_ns && fits(&available, step) &&
             is_within_target_limit(target, task, step) &&
             is_within_care(target, care)) {
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -114,7 +114,7 @@
     bool is_dropped; ///< freed once it has no pending calls and no runs
     /// When it passes to another owner; INT64_MAX for one that stays.
     int64_t handover_ns;
-    bool is_fenced;  ///< rejects the token; waits for a higher one
+    bool is_fenced; ///< rejects the token; waits for a higher one
     /// Gets no runs in the current placement pass, so that it becomes free for
     /// a task that must run alone.
     bool is_reserved;
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -64,6 +64,13 @@
                              sim.now_ns + MS_TO_NS(in_ms));
 }
 
+static pool_target_t *
+find_target(uint32_t target)
+{
+    return apr_hash_get(sim.pools[0]->targets, sim.targets[target].info.id,
+                        APR_HASH_KEY_STRING);
+}
+
 /// A surge of mixed tasks during a handover: a long one is first in line, and
 /// no target has the time for it. Targets have the resources for the short
 /// ones behind it, which are of the same size.
@@ -87,6 +94,20 @@
     sim_clear(&sim);
 }
 
+/// A task would be late on the slow target that is free. The fast one will be
+/// another owner's before it could take the task.
+static void
+test_no_wait_for_target_that_is_handed_over(void)
+{
+    create_sim(2);
+    find_target(0)->slowness_permille = 16000;
+    hand_over(1, 100);
+    submit("a", 1, 400);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(sim.targets[0].run_count, 1);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -94,6 +115,8 @@
     const CU_TestInfo tests[] = {
         {"a long task does not block short ones",
          test_long_task_does_not_block_short_ones},
+        {"no wait for a target that is handed over",
+         test_no_wait_for_target_that_is_handed_over},
         CU_TEST_INFO_NULL,
     };
     return suite_run("place", tests);
