pool: no target is kept free for a task that outlasts its handover

Cause: for a task that must run alone, the allowed target with the fewest runs is kept free. Targets to be handed over have few runs, so one of them was kept free for a task that could not start there any more, and no target that stays became free.

test_place, "no target is reserved that is handed over".

--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -213,7 +213,9 @@
     for (pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
         resources_t capacity = read_capacity(target);
+        int64_t run_ns = place_estimate_run_ns(step->estimate_ms, target);
         if (session_accepts_starts(pool, target, now_ns) &&
+            ends_before_handover(target, run_ns, now_ns) &&
             !target->is_reserved && is_allowed(target, order, step) &&
             fits(&capacity, step) &&
             (best == NULL || target->run_count < best->run_count)) {
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -94,6 +94,26 @@
     sim_clear(&sim);
 }
 
+/// A task that must run alone needs a target that becomes free and stays:
+/// otherwise the one with fewer runs, which is handed over, would be kept free
+/// for it in vain, and the other one never.
+static void
+test_no_target_is_reserved_that_is_handed_over(void)
+{
+    create_sim(2);
+    submit("a", 2, 100);
+    run_for_ms(20);
+    uint32_t busy = sim.targets[0].run_count > 0 ? 0 : 1;
+    run_loss_t loss = {.job = "d", .target = "t9", .born_ms = 7};
+    losses_add(sim.pools[0]->losses, &loss, sim.now_ns);
+    hand_over(1 - busy, 100);
+    submit("d", 1, 100);
+    run_for_ms(5);
+    CU_ASSERT_FALSE(find_target(1 - busy)->is_reserved);
+    CU_ASSERT_TRUE(find_target(busy)->is_reserved);
+    sim_clear(&sim);
+}
+
 /// A task would be late on the slow target that is free. The fast one will be
 /// another owner's before it could take the task.
 static void
@@ -115,6 +135,8 @@
     const CU_TestInfo tests[] = {
         {"a long task does not block short ones",
          test_long_task_does_not_block_short_ones},
+        {"no target is reserved that is handed over",
+         test_no_target_is_reserved_that_is_handed_over},
         {"no wait for a target that is handed over",
          test_no_wait_for_target_that_is_handed_over},
         CU_TEST_INFO_NULL,
