pool: a handover is no reason to call a job unservable

Cause: an order that fits only targets which are handed over too soon for it was refused as no_fit (422, not to be retried) when other targets stay: the caller is told that no target can run the job, although the next owner can.

Change: such an order is refused as no_dispatcher, so that another owner gets it, or it is deferred. no_fit is left for orders that fit no ready target.

test_place, "a handover is no misfit".

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -291,9 +291,9 @@
     if (pool->is_closed) {
         return kErrorKindDraining;
     }
-    if (!place_can_ever_fit(pool, order, now_ns)) {
-        return place_has_ready_target(pool) ? kErrorKindNoFit
-                                            : kErrorKindNoDispatcher;
+    error_kind_t fit = place_check_fit(pool, order, now_ns);
+    if (fit != kErrorKindOk) {
+        return fit;
     }
     int64_t work_ns = MS_TO_NS(critical_path_ms(order));
     int64_t finish_ns = MS_TO_NS(order->waited_ms) + wait_ns + work_ns;
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -314,8 +314,9 @@
     }
 }
 
-bool
-place_has_ready_target(const pool_t *pool)
+/// @return whether the pool has a ready target that stays
+static bool
+has_ready_target(const pool_t *pool)
 {
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
@@ -327,25 +328,48 @@
     return false;
 }
 
-bool
-place_can_ever_fit(const pool_t *pool, const order_t *order, int64_t now_ns)
+/// @return whether a step of an order fits a ready target without runs
+static bool
+fits_empty_target(const pool_target_t *target, const order_t *order,
+                  const order_step_t *step)
 {
-    for (uint32_t i = 0; i < order->steps_count; i++) {
-        bool is_found = false;
-        for (const pool_target_t *target = pool->first_target;
-             target != NULL && !is_found; target = target->next) {
-            resources_t capacity = read_capacity(target);
-            int64_t run_ns =
-                place_estimate_run_ns(order->steps[i].estimate_ms, target);
-            is_found = target->session == kSessionReady &&
-                       !target->is_dropped && !target->info.is_draining &&
-                       ends_before_handover(target, run_ns, now_ns) &&
-                       is_allowed(target, order, &order->steps[i]) &&
-                       fits(&capacity, &order->steps[i]);
+    resources_t capacity = read_capacity(target);
+    return target->session == kSessionReady && !target->is_dropped &&
+           !target->info.is_draining && is_allowed(target, order, step) &&
+           fits(&capacity, step);
+}
+
+static error_kind_t
+check_step_fit(const pool_t *pool, const order_t *order,
+               const order_step_t *step, int64_t now_ns)
+{
+    bool is_handed_over = false;
+    for (const pool_target_t *target = pool->first_target; target != NULL;
+         target = target->next) {
+        if (!fits_empty_target(target, order, step)) {
+            continue;
         }
-        if (!is_found) {
-            return false;
+        int64_t run_ns = place_estimate_run_ns(step->estimate_ms, target);
+        if (ends_before_handover(target, run_ns, now_ns)) {
+            return kErrorKindOk;
+        }
+        is_handed_over = true;
+    }
+    return has_ready_target(pool) && !is_handed_over ? kErrorKindNoFit
+                                                     : kErrorKindNoDispatcher;
+}
+
+error_kind_t
+place_check_fit(const pool_t *pool, const order_t *order, int64_t now_ns)
+{
+    error_kind_t worst = kErrorKindOk;
+    for (uint32_t i = 0; i < order->steps_count; i++) {
+        error_kind_t kind =
+            check_step_fit(pool, order, &order->steps[i], now_ns);
+        if (kind == kErrorKindNoFit) {
+            return kind;
         }
+        worst = kind != kErrorKindOk ? kind : worst;
     }
-    return true;
+    return worst;
 }
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -309,10 +309,13 @@
 void place_waiting_tasks(pool_t *pool, int64_t now_ns);
 /// @return the resources of a target that no run holds
 resources_t place_read_free(const pool_target_t *target);
-bool place_has_ready_target(const pool_t *pool);
-/// @return whether each step of an order fits a ready target without runs
-bool place_can_ever_fit(const pool_t *pool, const order_t *order,
-                        int64_t now_ns);
+/// Checks whether each step of an order fits a ready target without runs, in
+/// the time until the target passes to another owner.
+///
+/// @return kErrorKindOk; kErrorKindNoFit if targets that stay are of the wrong
+///         kind; kErrorKindNoDispatcher if there is none now
+error_kind_t place_check_fit(const pool_t *pool, const order_t *order,
+                             int64_t now_ns);
 /// @return the expected run time on a target, whose slowness is included
 int64_t place_estimate_run_ns(uint32_t estimate_ms,
                               const pool_target_t *target);
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -11,6 +11,16 @@
 };
 
 static sim_t sim;
+static pool_order_result_t last_result;
+
+static void
+record_result(sim_t *simulation, uint32_t pool,
+              const pool_order_result_t *result)
+{
+    (void)simulation;
+    (void)pool;
+    last_result = *result;
+}
 
 static int64_t
 work_100ms(sim_t *simulation, const run_name_t *name)
@@ -128,6 +138,23 @@
     sim_clear(&sim);
 }
 
+/// The target that fits an order passes to another owner, while others stay:
+/// that is no reason to tell the caller that nothing will ever run the job.
+static void
+test_handover_is_no_misfit(void)
+{
+    create_sim(2);
+    sim.on_settled = record_result;
+    find_target(1)->info.cpu_mcores = kLargeMcores / 2;
+    hand_over(0, 100);
+    submit("a", 1, 400);
+    CU_ASSERT_EQUAL(last_result.kind, kErrorKindNoDispatcher);
+    find_target(0)->info.cpu_mcores = kLargeMcores / 2;
+    submit("b", 1, 400);
+    CU_ASSERT_EQUAL(last_result.kind, kErrorKindNoFit);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -139,6 +166,7 @@
          test_no_target_is_reserved_that_is_handed_over},
         {"no wait for a target that is handed over",
          test_no_wait_for_target_that_is_handed_over},
+        {"a handover is no misfit", test_handover_is_no_misfit},
         CU_TEST_INFO_NULL,
     };
     return suite_run("place", tests);
