pool: targets that are handed over shorten no estimate of a wait

Cause: the estimate of a new order's wait counted the free resources and the runs of targets in a handover, also for an order that they have no time for. It was admitted as starting at once, and waited for those that stay.

Change: they are left out. An owner without any target left for the order has no estimate (an hour): its refusal doesn't tell the caller to stay away that long, as it also did while all targets were draining or fenced.

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -333,8 +333,11 @@
     uint32_t wait_ms = 0;
     error_kind_t kind = check_admission(pool, added, &wait_ms, now_ns);
     if (kind != kErrorKindOk) {
-        reject_order(pool, added, kOrderOutcomeRefused, kind,
-                     retry_after_ms(wait_ms));
+        // Without targets, the estimate says nothing: another owner may have
+        // them in a second.
+        reject_order(
+            pool, added, kOrderOutcomeRefused, kind,
+            retry_after_ms(kind == kErrorKindNoDispatcher ? 0 : wait_ms));
         return;
     }
     // Tasks that lost their runs were started for an earlier submission.
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -133,11 +133,9 @@
     return care == kCareAlone || !target->is_reserved;
 }
 
-/// @return whether a run that starts now is expected to have ended when its
-///         target passes to another owner
-static bool
-ends_before_handover(const pool_target_t *target, int64_t expected_ns,
-                     int64_t now_ns)
+bool
+place_ends_before_handover(const pool_target_t *target, int64_t expected_ns,
+                           int64_t now_ns)
 {
     return target->handover_ns == INT64_MAX ||
            now_ns + kHandoverMarginFactor * expected_ns <= target->handover_ns;
@@ -170,7 +168,7 @@
         int64_t expected_ns = 0;
         int64_t score =
             score_ns(pool, task, step, target, &available, &expected_ns);
-        if (!ends_before_handover(target, expected_ns, now_ns)) {
+        if (!place_ends_before_handover(target, expected_ns, now_ns)) {
             choice.is_short_of_time |= fits(&available, step);
             continue;
         }
@@ -215,7 +213,7 @@
         resources_t capacity = read_capacity(target);
         int64_t run_ns = place_estimate_run_ns(step->estimate_ms, target);
         if (session_accepts_starts(pool, target, now_ns) &&
-            ends_before_handover(target, run_ns, now_ns) &&
+            place_ends_before_handover(target, run_ns, now_ns) &&
             !target->is_reserved && is_allowed(target, order, step) &&
             fits(&capacity, step) &&
             (best == NULL || target->run_count < best->run_count)) {
@@ -350,7 +348,7 @@
             continue;
         }
         int64_t run_ns = place_estimate_run_ns(step->estimate_ms, target);
-        if (ends_before_handover(target, run_ns, now_ns)) {
+        if (place_ends_before_handover(target, run_ns, now_ns)) {
             return kErrorKindOk;
         }
         is_handed_over = true;
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -309,6 +309,10 @@
 void place_waiting_tasks(pool_t *pool, int64_t now_ns);
 /// @return the resources of a target that no run holds
 resources_t place_read_free(const pool_target_t *target);
+/// @return whether a run that starts now is expected to have ended when its
+///         target passes to another owner
+bool place_ends_before_handover(const pool_target_t *target,
+                                int64_t expected_ns, int64_t now_ns);
 /// Checks whether each step of an order fits a ready target without runs, in
 /// the time until the target passes to another owner.
 ///
--- a/src/pool/wait.c
+++ b/src/pool/wait.c
@@ -72,7 +72,9 @@
 {
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
-        if (!session_accepts_starts(pool, target, now_ns)) {
+        int64_t run_ns = place_estimate_run_ns(step->estimate_ms, target);
+        if (!session_accepts_starts(pool, target, now_ns) ||
+            !place_ends_before_handover(target, run_ns, now_ns)) {
             continue;
         }
         resources_t available = place_read_free(target);
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -155,6 +155,20 @@
     sim_clear(&sim);
 }
 
+/// The targets are the next owner's in a second: a caller without another
+/// owner is not sent away for the time of a wait that nobody can estimate.
+static void
+test_refusal_for_handover_is_short(void)
+{
+    create_sim(1);
+    sim.on_settled = record_result;
+    hand_over(0, 100);
+    submit("a", 1, 400);
+    CU_ASSERT_EQUAL(last_result.kind, kErrorKindNoDispatcher);
+    CU_ASSERT(last_result.retry_after_ms <= kLeftMs);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -167,6 +181,8 @@
         {"no wait for a target that is handed over",
          test_no_wait_for_target_that_is_handed_over},
         {"a handover is no misfit", test_handover_is_no_misfit},
+        {"a refusal for a handover is short",
+         test_refusal_for_handover_is_short},
         CU_TEST_INFO_NULL,
     };
     return suite_run("place", tests);
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -59,6 +59,30 @@
     sim_clear(&sim);
 }
 
+/// The order must wait although a target is free, as that one passes to
+/// another owner too soon: it is told so on admission.
+static void
+test_handed_over_target_shortens_no_wait(void)
+{
+    sim_init(&sim, 2, 1);
+    sim.work_ns = work_100ms;
+    sim_assign_targets(&sim, 0, 5);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(50));
+    sim_submit_equal(&sim, 0, "a1", 2 * kTaskCount, 100, 0);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(20));
+    order_step_t step = {
+        .task_count = 1, .cpu_mcores = 14000, .estimate_ms = 2000};
+    order_t spec = {.steps = &step, .steps_count = 1};
+    pool_order_t order = {.spec = &spec};
+    sim.targets[1].runs[0].end_ns = sim.now_ns;
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(50));
+    CU_ASSERT_EQUAL(wait_estimate_ns(sim.pools[0], &order, sim.now_ns), 0);
+    pool_set_target_handover(sim.pools[0], sim.targets[1].info.id,
+                             sim.now_ns + MS_TO_NS(1000));
+    CU_ASSERT(wait_estimate_ns(sim.pools[0], &order, sim.now_ns) > 0);
+    sim_clear(&sim);
+}
+
 static void
 test_longer_waits_raise_estimate(void)
 {
@@ -158,6 +182,8 @@
 {
     const CU_TestInfo tests[] = {
         {"the first wait is uncorrected", test_first_wait_is_uncorrected},
+        {"a target that is handed over shortens no wait",
+         test_handed_over_target_shortens_no_wait},
         {"longer waits raise the estimate", test_longer_waits_raise_estimate},
         {"an order that is given up raises the estimate",
          test_given_up_order_raises_estimate},
