pool: orders are stranded by targets whose handover is due

Cause: while a data centre is evacuated, an owner ends orders whose waiting tasks have no target left.

test_place, "orders are stranded by a handover".

--- a/src/pool/strand.c
+++ b/src/pool/strand.c
@@ -6,13 +6,14 @@
 enum { kStrandedRetryMs = 500 }; ///< Retry-After if no other owner is left
 
 /// @return whether any target may get runs of a service, now or when its
-///         session is ready
+///         session is ready. One whose handover is due gets none.
 static bool
-has_open_target(const pool_t *pool, const char *service)
+has_open_target(const pool_t *pool, const char *service, int64_t now_ns)
 {
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
         if (!target->is_dropped && !target->info.is_draining &&
+            target->handover_ns > now_ns &&
             strcmp(target->info.service, service) == 0) {
             return true;
         }
@@ -31,7 +32,7 @@
          order = next) {
         next = order->next;
         if (order->waiting_count == 0 ||
-            has_open_target(pool, order->spec->service)) {
+            has_open_target(pool, order->spec->service, now_ns)) {
             continue;
         }
         counter_add(kCounterOrdersStranded, 1);
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -169,6 +169,24 @@
     sim_clear(&sim);
 }
 
+/// Another data centre is evacuated while the last targets of this pool have
+/// been handed over: its orders end at once, not when they are dropped.
+static void
+test_orders_are_stranded_by_handover(void)
+{
+    create_sim(1);
+    submit("a", 2, 100);
+    run_for_ms(20);
+    submit("b", 1, 400);
+    pool_set_evacuating(sim.pools[0], true);
+    hand_over(0, 50);
+    run_for_ms(20);
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeRefused], 0);
+    run_for_ms(60);
+    CU_ASSERT_EQUAL(sim.counts.outcomes[kOrderOutcomeRefused], 1);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -183,6 +201,8 @@
         {"a handover is no misfit", test_handover_is_no_misfit},
         {"a refusal for a handover is short",
          test_refusal_for_handover_is_short},
+        {"orders are stranded by a handover",
+         test_orders_are_stranded_by_handover},
         CU_TEST_INFO_NULL,
     };
     return suite_run("place", tests);
