node: a membership lapses by its own joins, not an earlier one's

Cause: an owner says that its membership has lapsed when its last answered join is too old. A node that left and joins again said so until its first answer, as the time was that of the former membership: others joined as well. One whose joins were never answered said so never, although it is published as an owner from its join on.

Change: the time counts from the decision to join.

test_owner, "a new membership lapses anew".

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,7 +46,8 @@
     bool is_join_stale;   ///< that request was sent before a pause
     bool is_retiring;     ///< releasing all its partitions, to leave
     int64_t join_due_ns;
-    int64_t confirmed_ns;   ///< last reply to a join; 0: none yet
+    int64_t confirmed_ns;   ///< last reply to a join, or when it first joined;
+                            ///< 0: neither yet
     uint32_t join_failures; ///< in a row
     int64_t shortage_since_ns;
     int64_t surplus_since_ns;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -394,6 +394,7 @@
                   candidate.owner_count);
         group->is_joined = true;
         group->join_due_ns = now_ns;
+        group->confirmed_ns = now_ns;
         // Published before it holds partitions, which takes a handover: more
         // nodes would join in the meantime, each with a handover of its own.
         record_publish(node);
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -6,6 +6,7 @@
 #include "base/units.h"
 #include "node/record.h"
 #include "runtime/clock.h"
+#include "support/adapter_stub.h"
 #include "support/suite.h"
 
 enum { kPauseMs = 3000, kPartitionCount = 4 };
@@ -21,6 +22,7 @@
                                          .resubmit_ms = 1300,
                                          .hold_limit_ms = 1000,
                                          .member_ttl_ms = 1000,
+                                         .targets_per_owner = 20,
                                          .partition_count = kPartitionCount};
 
 /// Lets a node with an unanswered join find that it was paused.
@@ -106,6 +108,36 @@
     CU_ASSERT_FALSE(member_owns_dc(node->self, "dc1"));
 }
 
+/// @return a node that knows all members, itself only, and one target
+static node_t *
+create_listed_node(arena_t *arena, int64_t now_ns)
+{
+    node_t *node = node_create(&settings, arena);
+    node->adapter_ops = &adapter_stub_ops;
+    record_publish(node);
+    node->listed_ns = now_ns - MS_TO_NS(5000);
+    node->groups[0].target_count = 1;
+    return node;
+}
+
+/// A node that joins again, after it had left, is not lapsed by the time of
+/// its former membership: others would join as well. It is once its new joins
+/// go unanswered, also if none has ever been answered.
+static void
+test_new_membership_lapses_anew(void)
+{
+    arena_t *arena = arena_create();
+    int64_t now_ns = clock_now_ns();
+    node_t *node = create_listed_node(arena, now_ns);
+    dc_group_t *group = &node->groups[0];
+    group->confirmed_ns = now_ns - MS_TO_NS(60000);
+    node_handle_store_read(node, now_ns);
+    owner_advance(node, now_ns);
+    CU_ASSERT_TRUE(group->is_joined);
+    CU_ASSERT_FALSE(owner_is_lapsed(node, now_ns + MS_TO_NS(1000)));
+    CU_ASSERT_TRUE(owner_is_lapsed(node, now_ns + MS_TO_NS(2000)));
+}
+
 int
 main(void)
 {
@@ -117,6 +149,7 @@
         {"an unconfirmed membership lapses",
          test_unconfirmed_membership_lapses},
         {"a node that has joined is published", test_joined_node_is_published},
+        {"a new membership lapses anew", test_new_membership_lapses_anew},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
