node: the store counts as reachable between two calm reads

Cause: a node replaces owners only if it has reached the store lately, by when the last answered read of the nodes' records was sent. In calm each read waits for 1.5 s, so that this was up to 3 s ago, and a third of the time the node took the store for unreachable after 2.5 s. A shortage of owners that was judged then was forgotten.

test_owner, "a calm store is reachable".

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -33,11 +33,12 @@
     kHandoverStepMs = 250,
     kRevokeTimeoutMs = 2500, ///< for runs on revoked partitions to end
     kRevokeCheckMs = 40,     ///< between checks of these runs
-    kStoreReadTtlMs = 2500,  ///< a read of the store counts for this long;
-                             ///< one waits for 1.5 s at most
-    kProbePeriodMs = 500,    ///< between probes of a data centre
-    kProbeReplyTtlMs = 1300  ///< a reply counts for this long, so that one
-                             ///< lost reply does no harm
+    /// A read of the store counts for this long after it was sent: it waits
+    /// for up to 1.5 s, and the next one is not answered sooner.
+    kStoreReadTtlMs = 3500,
+    kProbePeriodMs = 500,   ///< between probes of a data centre
+    kProbeReplyTtlMs = 1300 ///< a reply counts for this long, so that one
+                            ///< lost reply does no harm
 };
 
 bool
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -138,6 +138,19 @@
     CU_ASSERT_TRUE(owner_is_lapsed(node, now_ns + MS_TO_NS(2000)));
 }
 
+/// Nothing changes in the records: each read waits for its full time, and the
+/// last answered one was sent before the pending one.
+static void
+test_calm_store_is_reachable(void)
+{
+    arena_t *arena = arena_create();
+    int64_t now_ns = clock_now_ns();
+    node_t *node = create_listed_node(arena, now_ns);
+    node_handle_store_read(node, now_ns - MS_TO_NS(2950));
+    owner_advance(node, now_ns);
+    CU_ASSERT_TRUE(node->groups[0].is_joined);
+}
+
 int
 main(void)
 {
@@ -150,6 +163,7 @@
          test_unconfirmed_membership_lapses},
         {"a node that has joined is published", test_joined_node_is_published},
         {"a new membership lapses anew", test_new_membership_lapses_anew},
+        {"a calm store is reachable", test_calm_store_is_reachable},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
