node: owners that failed during an outage of the store are replaced

Cause: a node without the store judges no shortage of owners, and decides again when a member or a link changes. If the owners failed during the outage, nothing changes after it, and nobody took their targets until some record did.

Change: the first read after an outage makes the node decide again.

test_owner, "a shortage is seen after an outage".

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -288,12 +288,6 @@
     }
 }
 
-void
-node_handle_store_read(node_t *node, int64_t sent_ns)
-{
-    node->store_read_ns = sent_ns;
-}
-
 /// @return whether this node has reached the store lately: without it, it can
 ///         replace no owner
 static bool
@@ -302,6 +296,17 @@
     return now_ns - node->store_read_ns < MS_TO_NS(kStoreReadTtlMs);
 }
 
+void
+node_handle_store_read(node_t *node, int64_t sent_ns)
+{
+    bool was_reachable = is_store_reachable(node, node_update_now_ns(node));
+    node->store_read_ns = sent_ns;
+    if (!was_reachable) {
+        // A shortage of owners that began meanwhile has not been judged.
+        node_schedule_membership(node);
+    }
+}
+
 static candidate_t
 make_candidate(node_t *node, dc_group_t *group, int64_t now_ns)
 {
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -151,6 +151,22 @@
     CU_ASSERT_TRUE(node->groups[0].is_joined);
 }
 
+/// All owners fail while this node can't reach the store: it replaces them
+/// when it can, although nothing else changes.
+static void
+test_shortage_is_seen_after_outage(void)
+{
+    arena_t *arena = arena_create();
+    int64_t now_ns = clock_now_ns();
+    node_t *node = create_listed_node(arena, now_ns);
+    node_handle_store_read(node, now_ns - MS_TO_NS(8000));
+    owner_advance(node, now_ns);
+    CU_ASSERT_FALSE(node->groups[0].is_joined);
+    node_handle_store_read(node, now_ns);
+    owner_advance(node, now_ns);
+    CU_ASSERT_TRUE(node->groups[0].is_joined);
+}
+
 int
 main(void)
 {
@@ -164,6 +180,8 @@
         {"a node that has joined is published", test_joined_node_is_published},
         {"a new membership lapses anew", test_new_membership_lapses_anew},
         {"a calm store is reachable", test_calm_store_is_reachable},
+        {"a shortage is seen after an outage",
+         test_shortage_is_seen_after_outage},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
