node: a node that hands over all its partitions joins at its period

Cause: a reply with a new generation is followed by the next join at once, to take the generation. A node that retires takes none: if another member joined or left meanwhile, each reply was followed by a join, for up to 2.5 s.

test_owner, "a retiring node joins at leisure".

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -129,6 +129,7 @@
     group->join_failures = 0;
     group->confirmed_ns = now_ns;
     bool has_new_generation =
+        !group->is_retiring &&
         reply->generation > group->partitions.newest_generation;
     group->join_due_ns =
         has_new_generation
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -167,6 +167,22 @@
     CU_ASSERT_TRUE(node->groups[0].is_joined);
 }
 
+/// The store has a new generation for a node that is handing over all its
+/// partitions: it takes none, and its joins keep their period.
+static void
+test_retiring_node_joins_at_leisure(void)
+{
+    arena_t *arena = arena_create();
+    int64_t now_ns = clock_now_ns();
+    node_t *node = create_listed_node(arena, now_ns);
+    dc_group_t *group = &node->groups[0];
+    group->is_joined = true;
+    answer_join(node, 5);
+    group->is_retiring = true;
+    answer_join(node, 6);
+    CU_ASSERT(group->join_due_ns > now_ns + MS_TO_NS(300));
+}
+
 int
 main(void)
 {
@@ -182,6 +198,8 @@
         {"a calm store is reachable", test_calm_store_is_reachable},
         {"a shortage is seen after an outage",
          test_shortage_is_seen_after_outage},
+        {"a retiring node joins at leisure",
+         test_retiring_node_joins_at_leisure},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
