--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -134,6 +134,7 @@
     node_handle_store_read(node, now_ns);
     owner_advance(node, now_ns);
     CU_ASSERT_TRUE(group->is_joined);
+    CU_ASSERT_TRUE(member_owns_dc(node->self, "dc1"));
     CU_ASSERT_FALSE(owner_is_lapsed(node, now_ns + MS_TO_NS(1000)));
     CU_ASSERT_TRUE(owner_is_lapsed(node, now_ns + MS_TO_NS(2000)));
 }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -87,7 +87,7 @@
 mutant spread-by-room test_choice src/pool/choice.c \
     's/% choice->weight < weight/% choice->weight < 0 * weight + (choice->best == NULL)/'
 mutant strong-nodes test_ownership src/ownership/members.c \
-    's/wanted = wanted > limit \&\& available > 0 ? limit : wanted;/(void)limit;/'
+    's/uint32_t wanted = sufficient > strong ? sufficient : strong;/uint32_t wanted = most + 0 * (sufficient + strong);/'
 mutant hello-silence functional_test_silence src/front/dispatcher_link.c \
     's/(link->is_ready \&\& link->sent_calls == NULL)/(link->sent_calls == NULL)/'
 mutant base-offset test_config_document src/config/config_document.c \
@@ -227,7 +227,7 @@
 mutant record-of-earlier-life test_restart src/pool/sessions.c \
     's/\&\& is_record_current(target) \&\&/\&\& (is_record_current(target) || true) \&\&/'
 mutant evacuated-targets functional_test_evacuation src/node/catalog.c \
-    's/^            !target->group->accepts_runs;/            false;/'
+    's/info.is_draining |= !target->group->accepts_runs;/info.is_draining |= false;/'
 mutant list-before-runs test_evacuation src/ownership/evacuation.c \
     's/return evacuation->is_listed \&\& !evacuation_has/return !evacuation_has/'
 mutant stranded-orders test_evacuation src/pool/strand.c \
@@ -236,5 +236,31 @@
     's/return peer->is_up \&\& peer->is_open \&\&/return peer->is_up \&\& peer->is_owner \&\&/'
 mutant evacuated-tries functional_test_evacuate_command src/dispatch/tries.c \
     's/bool is_evacuated = view->is_evacuated;/bool is_evacuated = false;/'
+mutant handover-time test_pool src/pool/place.c \
+    's/now_ns + kHandoverMarginFactor \* expected_ns <=/now_ns + 0 * kHandoverMarginFactor * expected_ns <=/'
+mutant handover-blocks-none test_place src/pool/place.c \
+    's/^                !choice.is_short_of_time) {/                true) {/'
+mutant handover-misfit test_place src/pool/place.c \
+    's/^        is_handed_over = true;//'
+mutant handover-wait test_wait src/pool/wait.c \
+    's/!place_ends_before_handover(target, run_ns, now_ns)) {/run_ns < 0) {/'
+mutant handover-strands test_place src/pool/strand.c \
+    's/target->handover_ns > now_ns \&\&/now_ns > 0 \&\&/'
+mutant pool-without-targets test_choice src/pool/choice.c \
+    's/(offer->has_no_targets ? kNoTargetsPenaltyMs : 0)/0 * kNoTargetsPenaltyMs/'
+mutant joined-is-owner test_owner src/node/record.c \
+    's/if (node->groups\[i\].is_joined) {/if (partitions_count_held(\&node->groups[i].partitions) > 0) {/'
+mutant published-at-join test_owner src/node/owner.c \
+    's/^        record_publish(node);//'
+mutant lapsed-owner test_ownership src/ownership/members.c \
+    's/member->is_reachable \&\& !member->is_lapsed \&\&/member->is_reachable \&\&/'
+mutant lapse-anew test_owner src/node/owner.c \
+    's/^        group->confirmed_ns = now_ns;//'
+mutant shortage-needs-store test_owner src/node/owner.c \
+    's/^                    is_store_reachable(node, now_ns),/                    true,/'
+mutant outage-ends test_owner src/node/owner.c \
+    's/if (!was_reachable) {/if (was_reachable \&\& false) {/'
+mutant weakest-part test_ownership src/ownership/members.c \
+    's/find_ranked_core_milli(members, dc, count - 1);/find_ranked_core_milli(members, dc, 0);/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
