members: at the start, nodes join after the preferred ones

Cause: a data centre without an owner is taken over after 400 ms by the next node in rank. When all nodes start, there is none either, and the preferred ones wait 500 ms for the list: the next one's time was over by then, and it joined with them or before them. Seen once with three equal nodes, where the second in rank became the only owner.

Change: the time counts from the end of that wait.

test_ownership, "a preferred node joins first at the start".

--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -328,7 +328,11 @@
             candidate->reachable_since_ns + MS_TO_NS(kStableReachableMs);
         earliest_ns = stable_ns > earliest_ns ? stable_ns : earliest_ns;
     }
-    int64_t join_ns = candidate->shortage_since_ns + join_delay_ns(candidate);
+    int64_t since_ns = candidate->shortage_since_ns;
+    if (candidate->is_local && earliest_ns > since_ns) {
+        since_ns = earliest_ns; // the preferred nodes join then
+    }
+    int64_t join_ns = since_ns + join_delay_ns(candidate);
     return earliest_ns > join_ns ? earliest_ns : join_ns;
 }
 
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -301,6 +301,22 @@
     CU_ASSERT(candidate_join_ns(&urgent, 200) > 200);
 }
 
+/// All nodes start together, and there is no owner yet: those that are not
+/// preferred wait for the preferred ones, which wait for the list.
+static void
+test_preferred_node_joins_first_at_start(void)
+{
+    candidate_t first = {.rank = 0,
+                         .wanted_count = 1,
+                         .is_local = true,
+                         .listed_ns = 100,
+                         .shortage_since_ns = 100};
+    candidate_t second = first;
+    second.rank = 1;
+    CU_ASSERT(candidate_join_ns(&second, 200) >=
+              candidate_join_ns(&first, 200) + MS_TO_NS(400));
+}
+
 /// Equal nodes share the targets as before.
 static void
 test_equal_nodes_share(void)
@@ -375,6 +391,8 @@
         {"a lapsed owner is none", test_lapsed_owner_is_none},
         {"a data centre without owners is taken over soon",
          test_lone_dc_is_taken_over_soon},
+        {"a preferred node joins first at the start",
+         test_preferred_node_joins_first_at_start},
         {"equal nodes share", test_equal_nodes_share},
         {"a remote node prepares", test_remote_node_prepares},
         {"a needed owner stays", test_needed_owner_stays},
