--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -50,10 +50,10 @@
             "\"core_share\": 0.5, \"hold_limit_ms\": 1000, "
             "\"stop_grace_ms\": 50, \"resubmit_ms\": 1300, "
             "\"stop_limit_s\": 6.0, \"member_ttl_ms\": 1000, "
-            "\"remote_factor\": 1.5, \"census_ms\": 400}",
+            "%s\"remote_factor\": 1.5, \"census_ms\": 400}",
             own_node->address, own_node->address, kJobsPort, own_node->address,
             kReadyPort, kPeerPort, kMetricsPort, fleet->network, node + 1,
-            kStorePort);
+            kStorePort, fleet->node_settings);
     fclose(file);
 }
 
@@ -208,10 +208,18 @@
 void
 fleet_start(fleet_t *fleet, uint32_t dcs, uint32_t nodes_per_dc,
             uint32_t runner_count)
+{
+    fleet_start_with(fleet, dcs, nodes_per_dc, runner_count, "");
+}
+
+void
+fleet_start_with(fleet_t *fleet, uint32_t dcs, uint32_t nodes_per_dc,
+                 uint32_t runner_count, const char *node_settings)
 {
     char folder[] = "/tmp/jt-fleet-XXXXXX";
     *fleet = (fleet_t){.dcs = dcs,
                        .runner_count = runner_count,
+                       .node_settings = node_settings,
                        .node_count = dcs * nodes_per_dc};
     apr_pool_create(&fleet->pool, NULL);
     fleet->folder = apr_pstrdup(fleet->pool, mkdtemp(folder));
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -25,6 +25,7 @@
     uint32_t network; ///< second octet of all addresses
     uint32_t dcs;
     uint32_t runner_count;
+    const char *node_settings; ///< JSON members, a comma after each
     apr_proc_t platform;
     apr_proc_t proxy;
     fleet_node_t nodes[kFleetMaxNodes];
@@ -38,6 +39,12 @@
 void fleet_start(fleet_t *fleet, uint32_t dcs, uint32_t nodes_per_dc,
                  uint32_t runner_count);
 
+/// The same with further settings of each node.
+///
+/// @param node_settings  JSON members, a comma after each
+void fleet_start_with(fleet_t *fleet, uint32_t dcs, uint32_t nodes_per_dc,
+                      uint32_t runner_count, const char *node_settings);
+
 /// Kills all processes and removes their folder; with JT_KEEP set in the
 /// environment, the folder with the logs stays.
 void fleet_stop(fleet_t *fleet);
