httpd: one budget of memory for what callers send

Cause: the body of each request was bounded, the sum over connections was not; connections were bounded by descriptors only, and those that stall kept ordinary callers out until their time-out. Headers over the pool of the library and bodies over the limit were read on.

Change: all unfinished requests of a process share a budget, from the memory that the process has (request_memory_mb, memory_mb). Every request is charged before it takes memory, with its arena, its body, the copies of its decoding and its answer, and gives all back when it ends. The pools of libmicrohttpd for all connections are taken off the budget first, so that each connection can hold an ordinary request (16 KB a pool in jt-front instead of 32). From 70% on, and beyond the limit of connections, the one with the least progress for its age is closed (limit/eviction.c decides, net/occupancy.c keeps the connections). A body that is announced over the limit is refused before it is read, another as soon as it passes it.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -6,6 +6,7 @@
 #include <stdatomic.h>
 
 #include "front/relay.h"
+#include "limit/memory_budget.h"
 #include "net/listener.h"
 #include "runtime/agent_link.h"
 #include "runtime/control.h"
@@ -18,6 +19,7 @@
     uint32_t relay_count;
     _Atomic uint32_t next_relay; ///< counts up; calls rotate over the relays
     struct MHD_Daemon *daemon;
+    memory_budget_t budget; ///< of the requests of callers
 
     _Atomic bool is_draining;
     _Atomic uint32_t active_count; ///< requests in progress
--- a/src/front/http.c
+++ b/src/front/http.c
@@ -11,12 +11,15 @@
 
 #include "base/counters.h"
 #include "codec/json.h"
+#include "codec/json_bounds.h"
 #include "front/responses.h"
 #include "httpd/arrival.h"
+#include "httpd/body.h"
 #include "httpd/stop.h"
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 enum {
     kMaxIdsPerRequest = 1024,
@@ -27,7 +30,12 @@
     kIdleTimeoutS = 60,
     kAnswerGraceMs = 2000, ///< time to wait for the answer after the deadline
     kStopPollUs = 20000,
-    kDrainTimeoutMs = 300 ///< for requests that are still being read
+    kDrainTimeoutMs = 300, ///< for requests that are still being read
+    kConnectionMemoryBytes = 16384,
+    kIdAnswerBytes = 256, ///< of an id, from the dispatcher to its response
+    /// Of a body. A job has at most 520 tasks of few values each; an object
+    /// costs the decoder about a kilobyte.
+    kMaxValues = 8192
 };
 
 /// One HTTP request of a caller and its response.
@@ -35,10 +43,7 @@
     front_t *front;
     struct MHD_Connection *connection;
     call_t call;
-    uint8_t *body;
-    uint32_t body_bytes;
-    uint32_t body_capacity_bytes;
-    bool is_too_large;
+    body_t body;
     bool is_done; ///< the call is done; the response can be sent
 } exchange_t;
 
@@ -76,6 +81,14 @@
     MHD_resume_connection(exchange->connection);
 }
 
+/// Refuses a request that gets no memory. It has not run.
+static enum MHD_Result
+refuse_for_memory(exchange_t *exchange)
+{
+    return respond_with_error(exchange, kErrorKindOverload,
+                              "memory for requests is short");
+}
+
 static enum MHD_Result
 start_call(exchange_t *exchange, call_type_t type)
 {
@@ -90,6 +103,7 @@
             : clock_deadline_ns(front->settings->wait_limit_ms);
     uint32_t relay_index =
         atomic_fetch_add(&front->next_relay, 1) % front->relay_count;
+    occupant_set_state(intake_find(exchange->connection), kOccupantWaiting);
     MHD_suspend_connection(exchange->connection);
     relay_post(&front->relays[relay_index], call);
     return MHD_YES;
@@ -117,6 +131,10 @@
                 "count: allowed is a number from 1 to 1024");
         }
     }
+    if (!occupant_charge(intake_find(exchange->connection),
+                         (uint64_t)count * kIdAnswerBytes)) {
+        return refuse_for_memory(exchange);
+    }
     exchange->call.count = (uint32_t)count;
     return start_call(exchange, kCallMint);
 }
@@ -126,8 +144,17 @@
 {
     call_t *call = &exchange->call;
     error_info_t err = {0};
-    bytes_t body = {.data = exchange->body,
-                    .size_bytes = exchange->body_bytes};
+    bytes_t body = {.data = exchange->body.data,
+                    .size_bytes = exchange->body.size_bytes};
+    if (json_bounds_count_values(body) > kMaxValues) {
+        counter_add(kCounterRequestsTooLarge, 1);
+        return respond_with_error(exchange, kErrorKindTooLarge, NULL);
+    }
+    // Decoding copies the body, and so does the message to the dispatcher.
+    if (!occupant_charge(intake_find(exchange->connection),
+                         2 * (uint64_t)body.size_bytes)) {
+        return refuse_for_memory(exchange);
+    }
     if (!json_read(body, &job_document_desc, kErrorKindBadRequest, call->arena,
                    &call->document, &err)) {
         const char *reason =
@@ -136,6 +163,7 @@
     }
     crypto_generichash(call->digest, sizeof call->digest, body.data,
                        body.size_bytes, NULL, 0);
+    body_free(&exchange->body);
     if (call->document.deadline_ms > 0) {
         call->deadline_ns =
             httpd_read_arrival_ns(exchange->connection, clock_now_ns()) +
@@ -235,30 +263,6 @@
     return exchange;
 }
 
-/// Appends received data to the body. Marks the request as too large if the
-/// body would exceed body_limit_bytes.
-static void
-append_body(exchange_t *exchange, const char *data, size_t size_bytes)
-{
-    uint32_t limit_bytes = exchange->front->settings->body_limit_bytes;
-    if (exchange->is_too_large ||
-        exchange->body_bytes + size_bytes > limit_bytes) {
-        exchange->is_too_large = true;
-        return;
-    }
-    uint32_t new_body_bytes = exchange->body_bytes + (uint32_t)size_bytes;
-    if (new_body_bytes > exchange->body_capacity_bytes) {
-        uint32_t new_capacity_bytes = new_body_bytes * 2;
-        exchange->body = realloc(exchange->body, new_capacity_bytes);
-        if (exchange->body == NULL) {
-            abort();
-        }
-        exchange->body_capacity_bytes = new_capacity_bytes;
-    }
-    memcpy(exchange->body + exchange->body_bytes, data, size_bytes);
-    exchange->body_bytes = new_body_bytes;
-}
-
 /// Sends the response for a call that is done.
 static enum MHD_Result
 respond_with_result(exchange_t *exchange, const route_t *route)
@@ -279,9 +283,6 @@
 static enum MHD_Result
 handle_request(exchange_t *exchange, const route_t *route, const char *url)
 {
-    if (exchange->is_too_large) {
-        return respond_with_error(exchange, kErrorKindTooLarge, NULL);
-    }
     if (route->has_id &&
         !job_id_parse(url + strlen(route->path), &exchange->call.id)) {
         return respond_with_error(exchange, kErrorKindNotMinted, NULL);
@@ -297,6 +298,26 @@
                                        MHD_HTTP_HEADER_EXPECT) != NULL;
 }
 
+/// Refuses a request before its body is read. It has not run.
+static enum MHD_Result
+begin_request(exchange_t *exchange, const route_t *route, const char *url)
+{
+    if (!intake_begin(exchange->connection)) {
+        return refuse_for_memory(exchange);
+    }
+    if (!body_is_length_allowed(exchange->connection,
+                                exchange->front->settings->body_limit_bytes)) {
+        counter_add(kCounterRequestsTooLarge, 1);
+        return respond_with_error(exchange, kErrorKindTooLarge, NULL);
+    }
+    // Answers a request with an Expect header before the body is sent, if the
+    // body is not needed.
+    return route == NULL || route->has_body ||
+                   !expects_continue(exchange->connection)
+               ? MHD_YES
+               : handle_request(exchange, route, url);
+}
+
 static enum MHD_Result
 on_request(void *owner, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *upload_data,
@@ -309,23 +330,22 @@
     const route_t *route = find_route(method, url, &error);
     if (exchange == NULL) {
         *state = create_exchange(front, connection);
-        // Answers a request with an Expect header before the body is sent, if
-        // the body is not needed.
-        if (route != NULL && !route->has_body &&
-            expects_continue(connection)) {
-            return handle_request(*state, route, url);
-        }
-        return MHD_YES;
+        return begin_request(*state, route, url);
     }
     if (exchange->is_done) {
+        occupant_set_state(intake_find(connection), kOccupantBusy);
         return respond_with_result(exchange, route);
     }
     if (*upload_bytes > 0) {
-        if (route != NULL && route->has_body) {
-            append_body(exchange, upload_data, *upload_bytes);
-        }
-        *upload_bytes = 0;
-        return MHD_YES;
+        const body_rules_t rules = {
+            .limit_bytes = front->settings->body_limit_bytes,
+            .is_discarded = route == NULL || !route->has_body,
+            .refusal_headers = "Jt-Not-Run: 1\r\n"};
+        return body_receive(&exchange->body, connection, &rules, upload_data,
+                            upload_bytes);
+    }
+    if (occupant_is_evicted(intake_find(connection))) {
+        return MHD_NO;
     }
     if (route == NULL) {
         return respond_with_error(exchange, error, NULL);
@@ -337,7 +357,6 @@
 on_completed(void *owner, struct MHD_Connection *connection, void **state,
              enum MHD_RequestTerminationCode code)
 {
-    (void)connection;
     (void)code;
     front_t *front = owner;
     exchange_t *exchange = *state;
@@ -345,9 +364,10 @@
         return;
     }
     arena_destroy(exchange->call.arena);
-    free(exchange->body);
+    body_free(&exchange->body);
     free(exchange);
     *state = NULL;
+    occupant_release_all(intake_find(connection));
     atomic_fetch_sub(&front->active_count, 1);
 }
 
@@ -362,20 +382,31 @@
                          "here.address: %s is not an IPv4 address",
                          settings->here.address);
     }
+    const uint64_t memory_bytes =
+        memory_limit_request_bytes(settings->request_memory_mb, 0);
+    const intake_size_t size =
+        intake_plan(descriptors_share(kDescriptorPercent, kMaxConnections),
+                    kConnectionMemoryBytes, memory_bytes);
+    memory_budget_init(&front->budget, size.request_bytes);
+    occupancy_t *callers =
+        intake_create("callers", size.open_limit, &front->budget);
     front->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
         settings->http_port, NULL, NULL, on_request, front,
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
         MHD_OPTION_THREAD_POOL_SIZE,
         settings->http_threads > 1 ? settings->http_threads : 0u,
-        MHD_OPTION_CONNECTION_LIMIT,
-        (unsigned int)descriptors_share(kDescriptorPercent, kMaxConnections),
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)size.connection_limit,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, front, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
+        MHD_OPTION_NOTIFY_CONNECTION, intake_on_connection, callers,
+        MHD_OPTION_END);
     if (front->daemon == NULL) {
         return error_set(err, kErrorKindIo, "cannot listen on %s:%u",
                          settings->here.address, settings->http_port);
     }
+    intake_limit_kernel_buffers(front->daemon);
     return true;
 }
 
--- /dev/null
+++ b/src/runtime/memory_limit.h
@@ -0,0 +1,16 @@
+/// The memory that this process may use.
+#ifndef JT_RUNTIME_MEMORY_LIMIT_H
+#define JT_RUNTIME_MEMORY_LIMIT_H
+
+#include <stdint.h>
+
+/// @return the least of the machine's memory, the memory of the control group
+///         and the limits of the process
+uint64_t memory_limit_bytes(void);
+
+/// @param request_mb  of the settings, 0 if they do not say
+/// @param memory_mb   of the settings, 0 if they do not say
+/// @return the memory for connections and unfinished requests of callers
+uint64_t memory_limit_request_bytes(uint32_t request_mb, uint32_t memory_mb);
+
+#endif
