--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -17,6 +17,9 @@
 enum {
     kBodyConnections = 400,
     kHeaderConnections = 900,
+    kFrameConnections = 240,
+    kFrameBytes = 4 * 1024 * 1024,
+    kFrameSentBytes = 400000,
     kOtherConnections = 2000,
     kLegalBytes = 262144, ///< limit of a body
     kExcessBytes = 2 * 1024 * 1024,
@@ -178,6 +181,17 @@
     }
 }
 
+static void
+build_frame(crowd_t *crowd, const crowd_door_t *door, crowd_kind_t kind)
+{
+    (void)door;
+    (void)kind;
+    uint32_t length_bytes = htonl(kFrameBytes);
+    crowd->tail = calloc(1, kFrameSentBytes);
+    append(crowd, &length_bytes, sizeof length_bytes);
+    crowd->tail_bytes = kFrameSentBytes;
+}
+
 static const crowd_plan_t plans[kCrowdKindCount] = {
     [kCrowdBodyWhole] = {.connections = kBodyConnections,
                          .body_bytes = kLegalBytes,
@@ -223,6 +237,9 @@
     [kCrowdAnswers] = {.connections = kOtherConnections,
                        .turn_bytes = UINT64_MAX,
                        .build = build_answers},
+    [kCrowdFrames] = {.connections = kFrameConnections,
+                      .turn_bytes = kPieceBytes,
+                      .build = build_frame},
 };
 
 /// Starts to connect. A connection that is not accepted stays in the kernel's
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -29,6 +29,7 @@
     kCrowdHeadersHeld,     ///< headers that go on by a byte now and then
     kCrowdIdle,            ///< nothing
     kCrowdAnswers,         ///< requests whose answers are not read
+    kCrowdFrames, ///< frames between processes that stop before their end
     kCrowdKindCount
 } crowd_kind_t;
 
