net: a budget of memory for accepted connections

Cause: an unfinished frame or unread replies were bounded for each connection (8 MB between nodes, 64 MB elsewhere), not for all of them. Idle connections could fill the share of accepted ones and keep other nodes out.

Change: accepted connections share a quarter of the memory of the process, are charged before a buffer grows and give it back when it is empty. When memory or connections are short, the one with the least progress for its age is closed; those that have sent a valid message go last.

--- a/src/limit/eviction.c
+++ b/src/limit/eviction.c
@@ -30,6 +30,9 @@
 eviction_goes_before(const eviction_candidate_t *left,
                      const eviction_candidate_t *right, int64_t now_ns)
 {
+    if (left->is_proven != right->is_proven) {
+        return right->is_proven;
+    }
     bool is_left_new = age_ns(left, now_ns) < MS_TO_NS(kNewMs);
     bool is_right_new = age_ns(right, now_ns) < MS_TO_NS(kNewMs);
     if (is_left_new != is_right_new) {
--- a/src/limit/eviction.h
+++ b/src/limit/eviction.h
@@ -9,6 +9,7 @@
 
 /// What is known of a connection.
 typedef struct {
+    bool is_proven;          ///< has sent valid messages; goes after others
     uint64_t held_bytes;     ///< memory of its request, 0 without one
     uint64_t received_bytes; ///< of the request that it is sending
     int64_t since_ns; ///< when the request began, or else the connection, or
--- a/src/net/conn.c
+++ b/src/net/conn.c
@@ -13,6 +13,7 @@
 #include "runtime/clock.h"
 #include "runtime/descriptors.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 enum {
     kHeaderBytes = 4,
@@ -22,28 +23,110 @@
     kReadsPerWakeup = 2,    ///< of a buffer each, so that a peer that sends
                             ///< without a pause does not hold up the others
     kAcceptedDescriptorPercent = 25,
-    kMaxAccepted = 1024
+    kMaxAccepted = 1024,
+    /// Of the connections that may be accepted. Beyond, those with the least
+    /// progress are closed, which takes until their loop runs.
+    kOpenPercent = 85,
+    kAcceptedMemoryPercent = 25,
+    kSmallConnBytes = 64 * 1024 ///< buffers of an ordinary connection, kept
+                                ///< while it is idle
 };
 
 /// Connections of this process that were accepted and are open.
 static _Atomic uint32_t accepted_count;
+static occupancy_t accepted;
+static memory_budget_t accepted_budget;
+static pthread_once_t accepted_once = PTHREAD_ONCE_INIT;
+
+static uint32_t
+accepted_limit(void)
+{
+    return descriptors_share(kAcceptedDescriptorPercent, kMaxAccepted);
+}
 
 static void
-reserve(uint8_t **buffer, uint32_t *capacity_bytes, uint32_t required_bytes)
+init_accepted(void)
+{
+    if (accepted_budget.limit_bytes == 0) {
+        memory_budget_init(&accepted_budget, memory_limit_bytes(0) / 100 *
+                                                 kAcceptedMemoryPercent);
+    }
+    uint32_t open_limit = accepted_limit() * kOpenPercent / 100;
+    occupancy_init(&accepted, "links", &accepted_budget,
+                   open_limit > 0 ? open_limit : 1, kSmallConnBytes);
+}
+
+void
+conn_limit_accepted(uint64_t memory_bytes)
+{
+    memory_budget_init(&accepted_budget,
+                       memory_bytes / 100 * kAcceptedMemoryPercent);
+}
+
+/// Charges a larger buffer before the old one is given back, as both exist
+/// while it is copied.
+///
+/// @return false if the connection gets no memory and is to be closed
+static bool
+reserve(conn_t *conn, uint8_t **buffer, uint32_t *capacity_bytes,
+        uint64_t required_bytes)
 {
     if (required_bytes <= *capacity_bytes) {
-        return;
+        return true;
     }
     uint32_t new_bytes =
         *capacity_bytes == 0 ? kInitialBufferBytes : *capacity_bytes;
     while (new_bytes < required_bytes) {
         new_bytes *= 2;
     }
+    if (conn->is_accepted && !occupant_charge(&conn->occupant, new_bytes)) {
+        return false;
+    }
     *buffer = realloc(*buffer, new_bytes);
     if (*buffer == NULL) {
         abort();
     }
+    if (conn->is_accepted) {
+        occupant_release(&conn->occupant, *capacity_bytes);
+    }
     *capacity_bytes = new_bytes;
+    return true;
+}
+
+/// Frees a large buffer that holds nothing.
+static void
+shrink(conn_t *conn, uint8_t **buffer, uint32_t *capacity_bytes,
+       uint32_t used_bytes)
+{
+    if (conn->is_accepted && used_bytes == 0 &&
+        *capacity_bytes > kSmallConnBytes / 2) {
+        free(*buffer);
+        occupant_release(&conn->occupant, *capacity_bytes);
+        *buffer = NULL;
+        *capacity_bytes = 0;
+    }
+}
+
+/// Notes what an accepted connection holds.
+///
+/// @param has_progressed  a frame is complete, or all replies were read
+static void
+note_occupant(conn_t *conn, bool has_progressed)
+{
+    if (!conn->is_accepted || conn->is_closed) {
+        return;
+    }
+    shrink(conn, &conn->in, &conn->in_capacity_bytes, conn->in_bytes);
+    shrink(conn, &conn->out, &conn->out_capacity_bytes, conn->out_bytes);
+    occupant_state_t state = conn->in_bytes > 0 || conn->out_bytes > 0
+                                 ? kOccupantBusy
+                                 : kOccupantIdle;
+    if (has_progressed) {
+        occupant_set_state(&conn->occupant, state);
+    }
+    else {
+        occupant_update_state(&conn->occupant, state);
+    }
 }
 
 static void
@@ -65,6 +148,7 @@
     conn->is_closed = true;
     if (conn->is_accepted) {
         atomic_fetch_sub(&accepted_count, 1);
+        occupancy_remove(&conn->occupant);
     }
     loop_watch(conn->loop, &conn->watch, conn->socket, 0);
     apr_socket_close(conn->socket);
@@ -115,6 +199,7 @@
         }
     }
     discard_sent_bytes(conn);
+    note_occupant(conn, conn->out_bytes == 0 && conn->in_bytes == 0);
     update_interest(conn);
 }
 
@@ -123,8 +208,8 @@
 {
     conn_t *conn = caa_container_of(deferred, conn_t, flush);
     if (conn->is_overflowing && !conn->is_closed) {
-        log_event("link_overflow", "unread_bytes=%u",
-                  conn->out_bytes - conn->out_sent_bytes);
+        log_event("link_overflow", "unread_bytes=%u in_bytes=%u",
+                  conn->out_bytes - conn->out_sent_bytes, conn->in_bytes);
         conn_close(conn);
     }
     conn_flush(conn);
@@ -158,6 +243,9 @@
         bytes_t body = {.data = conn->in + at + kHeaderBytes,
                         .size_bytes = length_bytes};
         counter_add(kCounterFramesIn, 1);
+        if (conn->is_accepted && pack_peek_type(body) < kMessageCount) {
+            occupant_set_proven(&conn->occupant);
+        }
         conn->ops->on_message(conn, pack_peek_type(body), body);
         at += kHeaderBytes + length_bytes;
     }
@@ -165,6 +253,7 @@
         memmove(conn->in, conn->in + at, conn->in_bytes - at);
         conn->in_bytes -= at;
     }
+    note_occupant(conn, at > 0);
 }
 
 /// Reads what has been received, or a part of it; the socket stays readable
@@ -173,8 +262,11 @@
 read_socket(conn_t *conn)
 {
     for (uint32_t i = 0; i < kReadsPerWakeup; i++) {
-        reserve(&conn->in, &conn->in_capacity_bytes,
-                conn->in_bytes + kInitialBufferBytes);
+        if (!reserve(conn, &conn->in, &conn->in_capacity_bytes,
+                     (uint64_t)conn->in_bytes + kInitialBufferBytes)) {
+            conn_close(conn);
+            return;
+        }
         apr_size_t free_bytes = conn->in_capacity_bytes - conn->in_bytes;
         apr_size_t size_bytes = free_bytes;
         apr_status_t status = apr_socket_recv(
@@ -187,6 +279,9 @@
             return;
         }
         conn->in_bytes += (uint32_t)size_bytes;
+        if (conn->is_accepted) {
+            occupant_note_progress(&conn->occupant, size_bytes);
+        }
         conn->last_received_ns = clock_now_ns();
         counter_add(kCounterBytesIn, size_bytes);
         dispatch_frames(conn);
@@ -273,8 +368,7 @@
 bool
 conn_may_accept(void)
 {
-    return atomic_load(&accepted_count) <
-           descriptors_share(kAcceptedDescriptorPercent, kMaxAccepted);
+    return atomic_load(&accepted_count) < accepted_limit();
 }
 
 conn_t *
@@ -285,6 +379,10 @@
     conn->is_open = true;
     conn->is_accepted = true;
     atomic_fetch_add(&accepted_count, 1);
+    apr_os_sock_t fd;
+    apr_os_sock_get(&fd, socket);
+    pthread_once(&accepted_once, init_accepted);
+    occupancy_add(&accepted, &conn->occupant, fd);
     update_interest(conn);
     return conn;
 }
@@ -359,8 +457,12 @@
         return;
     }
     uint32_t length_bytes = htonl(body.size_bytes);
-    reserve(&conn->out, &conn->out_capacity_bytes,
-            conn->out_bytes + frame_bytes);
+    if (!reserve(conn, &conn->out, &conn->out_capacity_bytes,
+                 (uint64_t)conn->out_bytes + frame_bytes)) {
+        conn->is_overflowing = true;
+        loop_defer(conn->loop, &conn->flush);
+        return;
+    }
     memcpy(conn->out + conn->out_bytes, &length_bytes, kHeaderBytes);
     memcpy(conn->out + conn->out_bytes + kHeaderBytes, body.data,
            body.size_bytes);
--- a/src/net/conn.h
+++ b/src/net/conn.h
@@ -8,6 +8,7 @@
 #include "base/record.h"
 #include "generated/messages.h"
 #include "net/loop.h"
+#include "net/occupancy.h"
 
 enum {
     kMaxFrameBytes = 64 * 1024 * 1024,
@@ -48,6 +49,7 @@
     uint32_t out_sent_bytes;
     uint32_t out_capacity_bytes;
     int64_t last_received_ns; ///< time when bytes were last received
+    occupant_t occupant;      ///< of an accepted connection
     bool is_accepted;
     bool is_open;
     bool is_overflowing; ///< the other end has not read what was sent
@@ -62,6 +64,11 @@
                      uint16_t port, const conn_ops_t *ops, void *owner,
                      error_info_t *err);
 
+/// Sets the memory for what accepted connections have not sent completely or
+/// not read. Call it before connections are accepted; without it, a quarter of
+/// what the process may use is taken.
+void conn_limit_accepted(uint64_t memory_bytes);
+
 /// @return whether this process may accept one more connection. Connections
 ///         from other processes hold a part of its file descriptors only: the
 ///         rest is for those that it opens itself, and for callers.
--- a/src/net/occupancy.c
+++ b/src/net/occupancy.c
@@ -67,6 +67,7 @@
 describe(const occupant_t *occupant)
 {
     return (eviction_candidate_t){
+        .is_proven = atomic_load(&occupant->is_proven),
         .held_bytes = atomic_load(&occupant->charged_bytes),
         .received_bytes = atomic_load(&occupant->received_bytes),
         .since_ns = atomic_load(&occupant->since_ns)};
@@ -226,6 +227,18 @@
     atomic_store(&occupant->state, state);
 }
 
+void
+occupant_update_state(occupant_t *occupant, occupant_state_t state)
+{
+    atomic_store(&occupant->state, state);
+}
+
+void
+occupant_set_proven(occupant_t *occupant)
+{
+    atomic_store(&occupant->is_proven, true);
+}
+
 bool
 occupant_is_evicted(const occupant_t *occupant)
 {
--- a/src/net/occupancy.h
+++ b/src/net/occupancy.h
@@ -47,6 +47,7 @@
     _Atomic int64_t since_ns;
     _Atomic uint64_t expected_bytes; ///< of the budget, once it was told to go
     _Atomic bool is_evicted;
+    _Atomic bool is_proven; ///< has sent valid messages
 };
 
 /// @param budget  kept by the caller; occupancies may share it
@@ -79,6 +80,12 @@
 /// Begins a new stage, from which age and progress count.
 void occupant_set_state(occupant_t *occupant, occupant_state_t state);
 
+/// Changes the state within a stage.
+void occupant_update_state(occupant_t *occupant, occupant_state_t state);
+
+/// Notes that a connection has sent a valid message.
+void occupant_set_proven(occupant_t *occupant);
+
 /// @return whether a connection was told to go
 bool occupant_is_evicted(const occupant_t *occupant);
 
--- a/src/runtime/memory_limit.c
+++ b/src/runtime/memory_limit.c
@@ -36,8 +36,11 @@
 }
 
 uint64_t
-memory_limit_bytes(void)
+memory_limit_bytes(uint32_t memory_mb)
 {
+    if (memory_mb > 0) {
+        return (uint64_t)memory_mb * kBytesPerMb;
+    }
     uint64_t machine_bytes =
         (uint64_t)sysconf(_SC_PHYS_PAGES) * (uint64_t)sysconf(_SC_PAGESIZE);
     return least(least(machine_bytes, read_group_limit()),
@@ -48,10 +51,7 @@
 uint64_t
 memory_limit_request_bytes(uint32_t request_mb, uint32_t memory_mb)
 {
-    if (request_mb > 0) {
-        return (uint64_t)request_mb * kBytesPerMb;
-    }
-    uint64_t memory_bytes = memory_mb > 0 ? (uint64_t)memory_mb * kBytesPerMb
-                                          : memory_limit_bytes();
-    return memory_bytes / 100 * kRequestPercent;
+    return request_mb > 0
+               ? (uint64_t)request_mb * kBytesPerMb
+               : memory_limit_bytes(memory_mb) / 100 * kRequestPercent;
 }
--- a/src/runtime/memory_limit.h
+++ b/src/runtime/memory_limit.h
@@ -4,9 +4,10 @@
 
 #include <stdint.h>
 
-/// @return the least of the machine's memory, the memory of the control group
-///         and the limits of the process
-uint64_t memory_limit_bytes(void);
+/// @param memory_mb  of the settings, 0 if they do not say
+/// @return what the settings say, or else the least of the machine's memory,
+///         the memory of the control group and the limits of the process
+uint64_t memory_limit_bytes(uint32_t memory_mb);
 
 /// @param request_mb  of the settings, 0 if they do not say
 /// @param memory_mb   of the settings, 0 if they do not say
--- a/tests/unit/test_eviction.c
+++ b/tests/unit/test_eviction.c
@@ -49,6 +49,14 @@
     check_order(make(262144, 262100, 1000), make(10000, 0, 0));
 }
 
+static void
+test_proven_goes_last(void)
+{
+    eviction_candidate_t proven = make(262144, 1, 60000);
+    proven.is_proven = true;
+    check_order(make(0, 0, 0), proven);
+}
+
 static void
 test_older_of_equals(void)
 {
@@ -72,6 +80,7 @@
         {"a request without bytes goes before an idle connection",
          test_empty_request_goes_before_idle},
         {"a new connection goes last", test_new_goes_last},
+        {"a connection with valid messages goes last", test_proven_goes_last},
         {"the older of equals", test_older_of_equals},
         {"a time ahead of the clock", test_time_ahead},
         CU_TEST_INFO_NULL,
