tests: the budget's guards, each with a mutant; limits of the address space

memory_limit takes a quarter of RLIMIT_AS and RLIMIT_DATA, which also hold stacks and what the allocator reserves, and the least of them and the settings.

--- a/src/runtime/memory_limit.c
+++ b/src/runtime/memory_limit.c
@@ -5,7 +5,13 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
-enum { kBytesPerMb = 1024 * 1024, kRequestPercent = 40 };
+enum {
+    kBytesPerMb = 1024 * 1024,
+    kRequestPercent = 40,
+    /// Of the address space, which also holds stacks and what the allocator
+    /// reserves for each thread.
+    kAddressSpacePercent = 25
+};
 
 static uint64_t
 read_resource_limit(int resource)
@@ -13,7 +19,7 @@
     struct rlimit limit;
     return getrlimit(resource, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY
                ? UINT64_MAX
-               : (uint64_t)limit.rlim_cur;
+               : (uint64_t)limit.rlim_cur / 100 * kAddressSpacePercent;
 }
 
 /// @return the limit of the control group; UINT64_MAX without one
@@ -38,14 +44,14 @@
 uint64_t
 memory_limit_bytes(uint32_t memory_mb)
 {
-    if (memory_mb > 0) {
-        return (uint64_t)memory_mb * kBytesPerMb;
-    }
     uint64_t machine_bytes =
         (uint64_t)sysconf(_SC_PHYS_PAGES) * (uint64_t)sysconf(_SC_PAGESIZE);
-    return least(least(machine_bytes, read_group_limit()),
-                 least(read_resource_limit(RLIMIT_AS),
-                       read_resource_limit(RLIMIT_DATA)));
+    uint64_t limit_bytes = least(least(machine_bytes, read_group_limit()),
+                                 least(read_resource_limit(RLIMIT_AS),
+                                       read_resource_limit(RLIMIT_DATA)));
+    return memory_mb > 0
+               ? least(limit_bytes, (uint64_t)memory_mb * kBytesPerMb)
+               : limit_bytes;
 }
 
 uint64_t
--- a/src/runtime/memory_limit.h
+++ b/src/runtime/memory_limit.h
@@ -5,8 +5,8 @@
 #include <stdint.h>
 
 /// @param memory_mb  of the settings, 0 if they do not say
-/// @return what the settings say, or else the least of the machine's memory,
-///         the memory of the control group and the limits of the process
+/// @return the least of what the settings say, the machine's memory, that of
+///         the control group and what the limits of the process leave
 uint64_t memory_limit_bytes(uint32_t memory_mb);
 
 /// @param request_mb  of the settings, 0 if they do not say
--- a/tests/unit/test_http_servers.c
+++ b/tests/unit/test_http_servers.c
@@ -15,7 +15,13 @@
 #include "support/process.h"
 #include "support/suite.h"
 
-enum { kConnections = 200, kPort = 8161, kReceiveTimeoutS = 10, kRounds = 10 };
+enum {
+    kConnections = 200,
+    kPort = 8161,
+    kReceiveTimeoutS = 10,
+    kRounds = 10,
+    kLimitBytes = 262144
+};
 
 static const char request[] = "GET /jobs/ HTTP/1.1\r\nHost: h\r\n"
                               "Connection: close\r\n\r\n";
@@ -46,7 +52,7 @@
 ///
 /// @return the socket, from which the answer has not been read
 static int
-send_request(const char *address)
+send_text(const char *address, const char *text)
 {
     struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(kPort)};
     struct timeval timeout = {.tv_sec = kReceiveTimeoutS};
@@ -54,11 +60,48 @@
     inet_pton(AF_INET, address, &to.sin_addr);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&to, sizeof to), 0);
-    CU_ASSERT_EQUAL(send(fd, request, strlen(request), MSG_NOSIGNAL),
-                    (ssize_t)strlen(request));
+    CU_ASSERT_EQUAL(send(fd, text, strlen(text), MSG_NOSIGNAL),
+                    (ssize_t)strlen(text));
     return fd;
 }
 
+/// Sends a request and reads the start of its answer.
+static bool
+is_answered(const char *address, const char *text, const char *status_line)
+{
+    char answer[64] = "";
+    int fd = send_text(address, text);
+    bool has_status = recv(fd, answer, sizeof answer - 1, 0) > 0 &&
+                      strncmp(answer, status_line, strlen(status_line)) == 0;
+    close(fd);
+    return has_status;
+}
+
+/// A body that is announced over the limit is refused before any of it is
+/// sent; others as soon as they pass it, without their end.
+static void
+test_large_bodies_are_refused(void)
+{
+    static char chunk[kLimitBytes + 256];
+    arena_t *arena = arena_create();
+    const char *address =
+        apr_psprintf(arena, "127.%u.2.1", process_reserve_network());
+    http_servers_t *servers = open_servers(arena, address);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(servers);
+    CU_ASSERT_TRUE(is_answered(
+        address,
+        "POST /jobs/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 262145\r\n\r\n",
+        "HTTP/1.1 413"));
+    int head_bytes = apr_snprintf(
+        chunk, sizeof chunk,
+        "POST /jobs/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n%x\r\n",
+        kLimitBytes + 100);
+    memset(chunk + head_bytes, ' ', kLimitBytes + 1);
+    CU_ASSERT_TRUE(is_answered(address, chunk, "HTTP/1.1 413"));
+    http_servers_close(servers);
+}
+
 /// Closing a listening socket resets the connections in its queue that were
 /// not accepted. All connections are made before the close, and most of them
 /// are still in the queue then.
@@ -74,7 +117,7 @@
         http_servers_t *servers = open_servers(arena, address);
         CU_ASSERT_PTR_NOT_NULL_FATAL(servers);
         for (uint32_t i = 0; i < kConnections; i++) {
-            fds[i] = send_request(address);
+            fds[i] = send_text(address, request);
         }
         http_servers_close(servers);
         for (uint32_t i = 0; i < kConnections; i++) {
@@ -93,6 +136,7 @@
     const CU_TestInfo tests[] = {
         {"pending connections are answered",
          test_pending_connections_are_answered},
+        {"large bodies are refused", test_large_bodies_are_refused},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -226,5 +226,29 @@
     's/order != NULL \&\& strcmp(order->spec->queue, queue) == 0;/order != NULL;/'
 mutant record-of-earlier-life test_restart src/pool/sessions.c \
     's/\&\& is_record_current(target) \&\&/\&\& (is_record_current(target) || true) \&\&/'
+mutant budget-given-back test_occupancy src/net/occupancy.c \
+    's/memory_budget_release(budget,/(void)(budget,/'
+mutant budget-of-all test_memory_budget src/limit/memory_budget.c \
+    's/bytes > ceiling_bytes - used_bytes/bytes > ceiling_bytes/'
+mutant charged-late functional_test_crowd_node src/httpd/body.c \
+    's/occupant_charge(conn, capacity_bytes)/occupant_charge(conn, body->capacity_bytes)/'
+mutant growth-leaves-room test_memory_budget src/limit/memory_budget.c \
+    's/kGrowthPercent = 85,/kGrowthPercent = 100,/'
+mutant least-progress-first test_eviction src/limit/eviction.c \
+    's/? left_progress < right_progress/? left_progress > right_progress/'
+mutant new-connection-last test_eviction src/limit/eviction.c \
+    's/if (is_left_new != is_right_new) {/if (false) {/'
+mutant stalled-are-closed functional_test_crowd_node src/net/occupancy.c \
+    's/^    shutdown(chosen->fd, SHUT_RDWR);//'
+mutant running-job-stays test_occupancy src/net/occupancy.c \
+    's/state != kOccupantWaiting \&\&/true \&\&/'
+mutant announced-excess test_http_servers src/httpd/body.c \
+    's/length_bytes == UINT64_MAX || length_bytes <= limit_bytes;/length_bytes + limit_bytes > 0;/'
+mutant sent-excess test_http_servers src/httpd/body.c \
+    's/^        refuse(body, connection, rules, kErrorKindTooLarge);//'
+mutant unfinished-frames functional_test_crowd_links src/net/conn.c \
+    's/if (conn->is_accepted \&\& !occupant_charge(/if (false \&\& !occupant_charge(/'
+mutant values-of-json test_json_bounds src/codec/json_bounds.c \
+    "s/count += c == '\[' || c == '{' || c == ',';/count += c == ',';/"
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
