--- a/src/front/http.c
+++ b/src/front/http.c
@@ -163,7 +163,7 @@
     }
     crypto_generichash(call->digest, sizeof call->digest, body.data,
                        body.size_bytes, NULL, 0);
-    body_free(&exchange->body);
+    body_free(&exchange->body, exchange->connection);
     if (call->document.deadline_ms > 0) {
         call->deadline_ns =
             httpd_read_arrival_ns(exchange->connection, clock_now_ns()) +
@@ -364,7 +364,7 @@
         return;
     }
     arena_destroy(exchange->call.arena);
-    body_free(&exchange->body);
+    body_free(&exchange->body, connection);
     free(exchange);
     *state = NULL;
     occupant_release_all(intake_find(connection));
--- a/src/httpd/body.c
+++ b/src/httpd/body.c
@@ -86,7 +86,7 @@
     const error_answer_t *answer = &error_answers[kind];
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    body_free(body);
+    body_free(body, connection);
     if (info == NULL) {
         return;
     }
@@ -127,8 +127,9 @@
 }
 
 void
-body_free(body_t *body)
+body_free(body_t *body, struct MHD_Connection *connection)
 {
     free(body->data);
+    occupant_release(intake_find(connection), body->capacity_bytes);
     *body = (body_t){0};
 }
--- a/src/httpd/body.h
+++ b/src/httpd/body.h
@@ -34,7 +34,7 @@
                              const body_rules_t *rules, const char *data,
                              size_t *size_bytes);
 
-/// Frees the memory of a body. Its charge is given back when the request ends.
-void body_free(body_t *body);
+/// Frees the memory of a body and gives back what it was charged.
+void body_free(body_t *body, struct MHD_Connection *connection);
 
 #endif
