--- a/tests/unit/test_occupancy.c
+++ b/tests/unit/test_occupancy.c
@@ -97,11 +97,11 @@
 test_others_stay(void)
 {
     open_pairs(kPairs);
-    for (uint32_t i = 0; i < kPairs; i++) {
-        occupant_set_state(&occupants[i],
-                           i == 0 ? kOccupantWaiting : kOccupantIdle);
-    }
-    CU_ASSERT_TRUE(occupant_charge(&occupants[0], 80000));
+    occupant_set_state(&occupants[0], kOccupantWaiting);
+    occupant_set_state(&occupants[1], kOccupantWaiting);
+    CU_ASSERT_TRUE(occupant_charge(&occupants[0], 60000));
+    CU_ASSERT_TRUE(occupant_charge(&occupants[1], 20000));
+    CU_ASSERT(memory_budget_excess_bytes(&budget) > 0);
     for (uint32_t i = 0; i < kPairs; i++) {
         CU_ASSERT_FALSE(is_shut_down(i));
     }
