--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,6 +14,7 @@
 #include "net/listener.h"
 #include "node/adapter.h"
 #include "node/queues.h"
+#include "ownership/evacuation.h"
 #include "ownership/members.h"
 #include "ownership/partitions.h"
 #include "pool/pool.h"
@@ -51,6 +52,7 @@
     int64_t surplus_since_ns;
     int64_t revoked_since_ns;   ///< since when there have been
                                 ///< revoked partitions; 0: none
+    int64_t handover_ns; ///< until when revoked partitions get short runs
     int64_t probe_reply_ns;     ///< last reply of one of its targets
     int64_t reachable_since_ns; ///< start of the current series
                                 ///< of answered probes
@@ -61,6 +63,8 @@
     uint64_t decided_version;   ///< membership_version of the last decision
     int64_t decide_due_ns;      ///< when to decide on the membership again
                                 ///< without a change
+    bool is_evacuated;          ///< as last applied to the pool
+    bool accepts_runs;          ///< as last applied to the pool
     bool needs_targets;         ///< this node may soon join, and needs the
                                 ///< targets although they are in another
                                 ///< data centre
@@ -88,6 +92,7 @@
     pool_t *pool;
     dc_group_t *groups; ///< one for each data centre
     uint32_t group_count;
+    evacuation_t evacuation;
     struct catalog_target *catalog; ///< targets that the platform lists
     apr_hash_t *targets_by_id;      ///< the targets of the catalog
     uint64_t catalog_list_number;   ///< of the list that is being received
@@ -99,6 +104,8 @@
     uint64_t membership_version; ///< increases with each change that
                                  ///< memberships of groups depend on
     int64_t listed_ns; ///< when all members were first listed; 0: not yet
+    int64_t store_read_ns; ///< when the last answered read of the nodes'
+                           ///< records was sent
     bool is_restarted; ///< an earlier process of this node left a record
     member_t *self;
     int64_t republish_due_ns; ///< when to publish the record again because
@@ -194,6 +201,11 @@
 /// @param read_ns  when the read was sent
 void node_handle_targets_read(node_t *node, uint64_t offset, int64_t read_ns);
 
+/// The records of nodes have been read.
+///
+/// @param sent_ns  when the read was sent
+void node_handle_store_read(node_t *node, int64_t sent_ns);
+
 /// Changes of nodes that the platform reports.
 void node_put_member(node_t *node, const node_record_t *record);
 void node_remove_member(node_t *node, const char *name);
--- a/src/node/peer_state.h
+++ b/src/node/peer_state.h
@@ -18,6 +18,7 @@
     conn_t *conn;   ///< NULL while there is none
     bool is_up;     ///< its hello has been received
     bool is_owner;
+    bool is_open; ///< owns targets of a data centre that is not evacuated
     bool is_leaving;
     bool has_record;        ///< is in the list of members
     bool is_local;          ///< is in this node's data centre, or owns targets
@@ -33,6 +34,8 @@
     int64_t load_received_ns; ///< when the pool's load was last received; 0:
                               ///< never
     room_t room;              ///< as received, minus what was assigned since
+    bool has_targets;         ///< its pool may start tasks
+    bool is_lapsed;           ///< its partitions may have been passed on
     uint32_t backlog_ms;
     link_clock_t clock; ///< of the peer, on the current link
 };
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,7 @@
 /// callers and runners saw is checked against the guarantees.
 ///
 ///   soak --seed N [--seconds S] [--dcs N] [--nodes N] [--runners N]
-///        [--deadly]
+///        [--deadly] [--evacuations]
 #include <apr_general.h>
 #include <apr_thread_proc.h>
 #include <apr_time.h>
@@ -22,6 +22,9 @@
     kResubmitDelayUs = 1300 * 1000, ///< before callers submit a job again
     kMaxTries = 4,
     kMeanFaultDelayUs = 120 * 1000,
+    /// With evacuations: a start counts as too late only if the store has been
+    /// sound for the whole notice time.
+    kMeanSlowFaultDelayUs = 500 * 1000,
     kMaxFaults = 24,    ///< at the same time
     kDeadlyPeriod = 40, ///< one job of so many crashes its runners
     /// A task that has crashed three runners may be started twice more.
@@ -38,6 +41,7 @@
     uint32_t nodes;
     uint32_t runners;
     bool has_deadly_jobs;
+    bool has_evacuations;
 } options_t;
 
 /// A job of a caller.
@@ -279,6 +283,25 @@
     return runner;
 }
 
+static void
+end_evacuation(uint32_t dc)
+{
+    char query[32];
+    snprintf(query, sizeof query, "restore=%u", dc);
+    fleet_set_platform(&fleet, query);
+}
+
+/// Leaves the last data centre to the callers.
+static uint32_t
+begin_evacuation(rng_t *rng)
+{
+    char query[32];
+    uint32_t dc = options.dcs < 2 ? 1 : 1 + rng_below(rng, options.dcs - 1);
+    snprintf(query, sizeof query, "evacuate=%u", dc);
+    fleet_set_platform(&fleet, query);
+    return dc;
+}
+
 /// For faults that need no action to end.
 static void
 end_nothing(uint32_t index)
@@ -289,29 +312,35 @@
 typedef struct {
     const char *name;
     uint32_t weight;
+    uint32_t min_ms;    ///< least duration
     bool is_node_fault; ///< not begun while a node is down or terminating
     uint32_t (*begin)(rng_t *rng);
     void (*end)(uint32_t index);
 } fault_kind_t;
 
 static const fault_kind_t fault_kinds[] = {
-    {"kill", 3, true, kill_node, restart_node},
-    {"suspend", 3, true, suspend_node, resume_node},
-    {"terminate", 3, true, terminate_node, restart_terminated_node},
-    {"SIGHUP", 1, true, reload_node, end_nothing},
-    {"store", 4, false, begin_store_fault, end_store_fault},
-    {"lost connection state", 2, false, drop_connection_state, end_nothing},
-    {"partition", 2, false, begin_partition, end_partition},
-    {"runner", 8, false, begin_runner_fault, end_runner_fault},
+    {"kill", 3, 200, true, kill_node, restart_node},
+    {"suspend", 3, 200, true, suspend_node, resume_node},
+    {"terminate", 3, 200, true, terminate_node, restart_terminated_node},
+    {"SIGHUP", 1, 200, true, reload_node, end_nothing},
+    {"store", 4, 200, false, begin_store_fault, end_store_fault},
+    {"lost connection state", 2, 200, false, drop_connection_state,
+     end_nothing},
+    {"partition", 2, 200, false, begin_partition, end_partition},
+    {"runner", 8, 200, false, begin_runner_fault, end_runner_fault},
+    {"evacuation", 8, 8000, false, begin_evacuation, end_evacuation},
 };
 
 enum { kFaultKindCount = sizeof fault_kinds / sizeof fault_kinds[0] };
 
+/// Evacuations, which come last in the table, are drawn only on request, so
+/// that the recorded seeds keep their faults.
 static const fault_kind_t *
 choose_kind(rng_t *rng)
 {
     uint32_t total = 0;
-    for (uint32_t i = 0; i < kFaultKindCount; i++) {
+    uint32_t kind_count = kFaultKindCount - !options.has_evacuations;
+    for (uint32_t i = 0; i < kind_count; i++) {
         total += fault_kinds[i].weight;
     }
     uint32_t draw = rng_below(rng, total);
@@ -351,7 +380,7 @@
 begin_fault(rng_t *rng)
 {
     const fault_kind_t *kind = choose_kind(rng);
-    uint32_t duration_us = 200000 + rng_below(rng, 3000000);
+    uint32_t duration_us = kind->min_ms * 1000 + rng_below(rng, 3000000);
     if (kind->is_node_fault && has_node_fault()) {
         return;
     }
@@ -376,6 +405,9 @@
     for (uint32_t i = 0; i < options.runners; i++) {
         end_runner_fault(i);
     }
+    for (uint32_t i = 1; i <= options.dcs; i++) {
+        end_evacuation(i);
+    }
 }
 
 /// Checks the responses of a job against the counters of the runners: a node
@@ -420,17 +452,19 @@
     }
     uint64_t doubles = fleet_read_counter(&fleet, "doubles");
     uint64_t drained = fleet_read_counter(&fleet, "drained");
+    uint64_t evacuated = fleet_read_counter(&fleet, "evacuated");
     uint64_t running = fleet_read_counter(&fleet, "running");
-    printf("seed %llu: jobs=%u served=%u starts=%llu doubles=%llu "
-           "drained=%llu running=%llu crashes=%llu problems=%u\n",
-           (unsigned long long)options.seed, count, served,
-           (unsigned long long)fleet_read_counter(&fleet, "starts"),
-           (unsigned long long)doubles, (unsigned long long)drained,
-           (unsigned long long)running,
-           (unsigned long long)fleet_read_counter(&fleet, "crashes"),
-           problems);
+    printf(
+        "seed %llu: jobs=%u served=%u starts=%llu doubles=%llu "
+        "drained=%llu evacuated=%llu running=%llu crashes=%llu problems=%u\n",
+        (unsigned long long)options.seed, count, served,
+        (unsigned long long)fleet_read_counter(&fleet, "starts"),
+        (unsigned long long)doubles, (unsigned long long)drained,
+        (unsigned long long)evacuated, (unsigned long long)running,
+        (unsigned long long)fleet_read_counter(&fleet, "crashes"), problems);
     return problems + (uint32_t)doubles + (uint32_t)drained +
-           (uint32_t)running + (served * 4 < count ? 1 : 0);
+           (uint32_t)evacuated + (uint32_t)running +
+           (served * 4 < count ? 1 : 0);
 }
 
 static void
@@ -438,9 +472,11 @@
 {
     apr_time_t end_us =
         apr_time_now() + (apr_time_t)options.seconds * 1000 * 1000;
+    uint32_t mean_delay_us =
+        options.has_evacuations ? kMeanSlowFaultDelayUs : kMeanFaultDelayUs;
     while (apr_time_now() < end_us) {
         begin_fault(rng);
-        apr_sleep(rng_below(rng, 2 * kMeanFaultDelayUs));
+        apr_sleep(rng_below(rng, 2 * mean_delay_us));
         end_faults(apr_time_now());
     }
     end_all_faults();
@@ -468,6 +504,7 @@
     {"nodes", 'n', "N", 0, "nodes in each data centre", 0},
     {"runners", 'r', "N", 0, "total number of runners", 0},
     {"deadly", 'x', NULL, 0, "some tasks crash their runners", 0},
+    {"evacuations", 'e', NULL, 0, "data centres are evacuated", 0},
     {0}};
 
 static error_t
@@ -494,6 +531,9 @@
     case 'x':
         options.has_deadly_jobs = true;
         return 0;
+    case 'e':
+        options.has_evacuations = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -250,5 +250,15 @@
     's/if (conn->is_accepted \&\& !occupant_charge(/if (false \&\& !occupant_charge(/'
 mutant values-of-json test_json_bounds src/codec/json_bounds.c \
     "s/count += c == '\[' || c == '{' || c == ',';/count += c == ',';/"
+mutant evacuated-targets functional_test_evacuation src/node/catalog.c \
+    's/^            !target->group->accepts_runs;/            false;/'
+mutant list-before-runs test_evacuation src/ownership/evacuation.c \
+    's/return evacuation->is_listed \&\& !evacuation_has/return !evacuation_has/'
+mutant stranded-orders test_evacuation src/pool/strand.c \
+    's/if (!pool->is_evacuating) {/if (true) {/'
+mutant owners-left test_evacuation src/node/peers.c \
+    's/return peer->is_up \&\& peer->is_open \&\&/return peer->is_up \&\& peer->is_owner \&\&/'
+mutant evacuated-tries functional_test_evacuate_command src/dispatch/tries.c \
+    's/bool is_evacuated = view->is_evacuated;/bool is_evacuated = false;/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
