ownership: a weak node does not stand in for an owner that is cut off

An owner that is cut off from the store counts as none, but still counted among the nodes by which the number of owners is decided, so that a node with 0.09 of a core took a quarter of a data centre's targets.

Change: what is cut off counts neither for the number of owners nor for the rank of the others.

test_ownership: 3 wanted owners before, 2 after one is cut off (red: 3).

--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -145,6 +145,7 @@
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
         rank += member != self && !member->record->is_leaving &&
+                !member->is_lapsed &&
                 members_rank_before(member->record, self->record, dc);
     }
     return rank;
@@ -185,7 +186,8 @@
 static bool
 is_available_in_dc(const member_t *member, const char *dc)
 {
-    return !member->record->is_leaving && strcmp(member->record->dc, dc) == 0;
+    return !member->record->is_leaving && !member->is_lapsed &&
+           strcmp(member->record->dc, dc) == 0;
 }
 
 uint32_t
--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -67,7 +67,8 @@
 uint32_t members_count_preferred_owners(const members_t *members,
                                         const member_t *self, const char *dc);
 
-/// @return how many members are located in a data centre and not leaving
+/// @return how many members are located in a data centre, not leaving and not
+///         cut off from the store
 uint32_t members_count_in_dc(const members_t *members, const char *dc);
 
 /// Decides how many owners the targets of a data centre need: at most one for
--- a/tests/unit/test_ownership.c
+++ b/tests/unit/test_ownership.c
@@ -282,6 +282,25 @@
     CU_ASSERT_EQUAL(members_count_owners(&members, "d1"), 2);
     members_find(&members, "a")->is_lapsed = true;
     CU_ASSERT_EQUAL(members_count_owners(&members, "d1"), 1);
+    CU_ASSERT_EQUAL(members_count_in_dc(&members, "d1"), 1);
+    CU_ASSERT_EQUAL(
+        members_find_rank(&members, members_find(&members, "b"), "d1"), 0);
+    remove_all(&members);
+}
+
+/// One of three strong owners is cut off from the store: the others can serve
+/// its targets, and a weak node in its place could not.
+static void
+test_weak_node_does_not_stand_in(void)
+{
+    members_t members = {0};
+    put_member(&members, "a", "d1", 500, "d1");
+    put_member(&members, "b", "d1", 500, "d1");
+    put_member(&members, "c", "d1", 300, "d1");
+    put_member(&members, "d", "d1", 90, NULL);
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 117, 20), 3);
+    members_find(&members, "b")->is_lapsed = true;
+    CU_ASSERT_EQUAL(members_decide_owner_count(&members, "d1", 117, 20), 2);
     remove_all(&members);
 }
 
@@ -373,6 +392,7 @@
         {"strong nodes own", test_strong_nodes_own},
         {"weak nodes share", test_weak_nodes_share},
         {"a lapsed owner is none", test_lapsed_owner_is_none},
+        {"a weak node does not stand in", test_weak_node_does_not_stand_in},
         {"a data centre without owners is taken over soon",
          test_lone_dc_is_taken_over_soon},
         {"equal nodes share", test_equal_nodes_share},
