--- a/tests/standins/proxy.c
+++ b/tests/standins/proxy.c
@@ -8,7 +8,8 @@
 ///   ROUTE: LISTEN-IP:PORT=TARGET-IP:PORT@DC
 ///   POST /standin/set?forget=1     drop the state of all open connections
 ///   POST /standin/set?cut=DC       partition a data centre; 0 ends it
-///   POST /standin/set?delay_us=N   delay bytes by N us in each direction
+///   POST /standin/set?away=IP      close the route that listens there; 0 ends
+///   it POST /standin/set?delay_us=N   delay bytes by N us in each direction
 #include <apr_general.h>
 #include <apr_strings.h>
 #include <argp.h>
@@ -20,7 +21,12 @@
 #include "runtime/clock.h"
 #include "support/http_server.h"
 
-enum { kMaxRoutes = 64, kAddressBytes = 32, kBufferBytes = 65536 };
+enum {
+    kMaxRoutes = 64,
+    kAddressBytes = 32,
+    kBufferBytes = 65536,
+    kPlatformPort = 7300
+};
 
 typedef struct {
     char listen_address[kAddressBytes];
@@ -59,6 +65,7 @@
     endpoint_t endpoints[2]; ///< accepted side, connected side
     uint32_t source_dc;
     uint32_t dc;
+    const route_t *route;
     bool has_lost_state;
     bool is_closed;
 };
@@ -70,6 +77,7 @@
     forwarded_conn_t *conns;
     server_t control;
     uint32_t cut_dc;
+    char away_address[kAddressBytes];
     uint32_t delay_us;
 } proxy;
 
@@ -120,7 +128,9 @@
     bool is_cut =
         proxy.cut_dc != 0 && conn->source_dc != conn->dc &&
         (conn->source_dc == proxy.cut_dc || conn->dc == proxy.cut_dc);
-    return conn->has_lost_state || is_cut;
+    bool is_away =
+        strcmp(conn->route->listen_address, proxy.away_address) == 0;
+    return conn->has_lost_state || is_cut || is_away;
 }
 
 /// Writes the chunks whose delay has passed.
@@ -262,9 +272,10 @@
     conn->arena = arena;
     conn->dc = route->dc;
     conn->source_dc = parse_dc(source_address);
+    conn->route = route;
     // A source that is no entry VM counts as in the data centre of the route,
     // except on the way to the platform, which is in none.
-    if (conn->source_dc == 0 && route->target_port != 7300) {
+    if (conn->source_dc == 0 && route->target_port != kPlatformPort) {
         conn->source_dc = route->dc;
     }
     conn->next = proxy.conns;
@@ -291,6 +302,10 @@
     if ((at = strstr(request->path, "cut=")) != NULL) {
         proxy.cut_dc = (uint32_t)strtoul(at + 4, NULL, 10);
     }
+    if ((at = strstr(request->path, "away=")) != NULL) {
+        apr_cpystrn(proxy.away_address, at + strlen("away="),
+                    sizeof proxy.away_address);
+    }
     if ((at = strstr(request->path, "delay_us=")) != NULL) {
         proxy.delay_us = (uint32_t)strtoul(at + 9, NULL, 10);
     }
