bench: fleet of owners and coordinators on a virtual clock

Cause: placement-bench drives one pool, so nothing measured how coordinators with aged news spread jobs over the pools of several owners under swinging demand and surges.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v generated)
 
 .PHONY: all deps build generate check-generated format check-format lint \
-	unit functional check-model test test-faults soak check-mutants sanitize fuzz bench bench-quick demo clean
+	unit functional check-model test test-faults soak check-mutants sanitize fuzz bench bench-quick bench-fleet demo clean
 
 all: build
 
@@ -88,6 +88,10 @@
 bench-quick: build
 	$(PYTHON) bench/run.py $(BUILD) bench/out --quick
 
+# Goodput of a fleet on a virtual clock, in minutes; plots in docs/plots.
+bench-fleet: build
+	$(PYTHON) bench/fleet.py $(BUILD) bench/out docs/plots
+
 demo: deps
 	$(MAKE) build
 	tools/demo.sh $(BUILD)
