--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,7 +13,7 @@
 PROCESSES = 2
 WORKLOADS = ("swing", "uneven")
 POLICIES = ("product", "two", "central")
-FAULTS = ("owner", "news", "cut")
+FAULTS = ("none", "owner", "news", "cut")
 LOADS_PERCENT = range(60, 201, 20)
 FAULT_LOAD_PERCENT = 80
 # A third of the targets of the workloads: the central pool gets slow with long
@@ -61,6 +61,18 @@
         writer.writerows(rows)
 
 
+def add_sums(rows):
+    """Adds a row of kind "all" for each run."""
+    sums = {}
+    for row in rows:
+        key = (row["workload"], row["policy"], row["load"])
+        total = sums.setdefault(key, {**row, "kind": "all", "owed": 0,
+                                      "earned": 0, "bound": 0})
+        for column in ("owed", "earned", "bound"):
+            total[column] += float(row[column])
+    return rows + list(sums.values())
+
+
 def kinds_of(rows, workload):
     return sorted({row["kind"] for row in rows
                    if row["workload"] == workload})
@@ -115,7 +127,7 @@
     rows = measure_loads(build)
     write_rows(out / "fleet.csv", rows)
     for workload in WORKLOADS:
-        plot_workload(out, plots, rows, workload)
+        plot_workload(out, plots, add_sums(rows), workload)
     faults = measure_faults(build)
     (out / "faults.txt").write_text(faults)
     print(faults, end="")
--- a/bench/fleet/faults.c
+++ b/bench/fleet/faults.c
@@ -105,23 +105,17 @@
     }
 }
 
+static void
+do_nothing(fleet_t *fleet)
+{
+    (void)fleet;
+}
+
 static const fault_t faults[] = {
-    {.name = "owner",
-     .from_ms = 14000,
-     .to_ms = 17000,
-     .begin = kill_owner,
-     .notice = take_over},
-    {.name = "news",
-     .from_ms = 12000,
-     .to_ms = 18000,
-     .begin = stop_news,
-     .end = resume_news},
-    {.name = "cut",
-     .from_ms = 14000,
-     .to_ms = 19000,
-     .begin = cut_dc,
-     .notice = give_up_links,
-     .end = mend_cut},
+    {.name = "none", .begin = do_nothing},
+    {.name = "owner", .begin = kill_owner, .notice = take_over},
+    {.name = "news", .begin = stop_news, .end = resume_news},
+    {.name = "cut", .begin = cut_dc, .notice = give_up_links, .end = mend_cut},
 };
 
 const fault_t *
@@ -164,12 +158,12 @@
         return;
     }
     virtual_clock_t *clock = &fleet->clock;
-    clock_add(clock, MS(fault->from_ms), handle_begin, sizeof(event_t));
+    clock_add(clock, MS(kFaultFromMs), handle_begin, sizeof(event_t));
     if (fault->notice != NULL) {
-        clock_add(clock, MS(fault->from_ms + kNoticeMs), handle_notice,
+        clock_add(clock, MS(kFaultFromMs + kNoticeMs), handle_notice,
                   sizeof(event_t));
     }
     if (fault->end != NULL) {
-        clock_add(clock, MS(fault->to_ms), handle_end, sizeof(event_t));
+        clock_add(clock, MS(kFaultToMs), handle_end, sizeof(event_t));
     }
 }
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -17,6 +17,8 @@
     kRemoteLinks = 4, ///< owners of each other data centre that a coordinator
                       ///< knows
     kRunSeconds = 30, ///< in which jobs are sent
+    kFaultFromMs = 14000, ///< in which a fault lasts, at the peak of demand
+    kFaultToMs = 19000,
     kLeaseMs = 650,
     kOrphanMs = 780,
     kSloMs = 60,            ///< objective of a job, and
@@ -99,11 +101,9 @@
     owner_t *(*choose)(fleet_t *fleet, const job_t *job);
 } policy_t;
 
-/// A disturbance during the run.
+/// A disturbance from kFaultFromMs to kFaultToMs.
 typedef struct {
     const char *name;
-    uint32_t from_ms; ///< since the start
-    uint32_t to_ms;
     void (*begin)(fleet_t *fleet);
     /// The others notice and act; NULL: nothing to do.
     void (*notice)(fleet_t *fleet);
--- a/bench/fleet/main.c
+++ b/bench/fleet/main.c
@@ -40,7 +40,9 @@
     {"policy", 'p', "NAME", 0,
      "product, two (random of two) or central (one pool, true run times)", 0},
     {"fault", 'f', "NAME", 0,
-     "owner (one dies), news (of room stop) or cut (a data centre)", 0},
+     "owner (one dies), news (of room stop), cut (a data centre) or none, "
+     "for comparison",
+     0},
     {"csv", kOptionCsv, NULL, 0, "one line for each kind, with the bound", 0},
     {"least", kOptionLeast, "PERCENT", 0,
      "fail if less of any kind is in time", 0},
--- a/bench/fleet/results.c
+++ b/bench/fleet/results.c
@@ -174,8 +174,8 @@
 void
 results_print_fault(const fleet_t *fleet)
 {
-    int64_t from_ns = MS(fleet->fault->from_ms);
-    int64_t to_ns = MS(fleet->fault->to_ms);
+    int64_t from_ns = MS(kFaultFromMs);
+    int64_t to_ns = MS(kFaultToMs);
     print_part(fleet, "before", 0, from_ns);
     print_part(fleet, "during", from_ns, to_ns);
     print_part(fleet, "after", to_ns, INT64_MAX);
