node: an owner that is cut off is replaced only once it is fenced

Change: an owner says that it has lapsed only when, besides, no target accepts its token any more.

test_owner: an owner with a target that accepts its token does not lapse (red before).

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -53,8 +53,10 @@
     return false;
 }
 
-bool
-owner_is_lapsed(const node_t *node, int64_t now_ns)
+/// @return whether the store has not answered the joins of a group for longer
+///         than a membership lasts
+static bool
+is_unconfirmed(const node_t *node, int64_t now_ns)
 {
     int64_t limit_ns =
         MS_TO_NS((int64_t)node->settings->member_ttl_ms + kLapseSlackMs);
@@ -68,6 +70,15 @@
     return false;
 }
 
+bool
+owner_is_lapsed(const node_t *node, int64_t now_ns)
+{
+    // As long as no other node has taken the targets over, this one serves
+    // them.
+    return is_unconfirmed(node, now_ns) &&
+           pool_read_status(node->pool, now_ns).target_count == 0;
+}
+
 bool
 owner_has_partitions(const node_t *node)
 {
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -27,8 +27,9 @@
 ///         may get new runs
 bool owner_accepts_runs(const node_t *node);
 
-/// @return whether the store may have passed this node's partitions on: it has
-///         not answered its joins for longer than a membership lasts
+/// @return whether the store has passed this node's partitions on: it has not
+///         answered its joins for longer than a membership lasts, and no
+///         target accepts this node's token any more
 bool owner_is_lapsed(const node_t *node, int64_t now_ns);
 
 /// @return whether this node holds a partition of any data centre
--- a/src/node/peer_state.h
+++ b/src/node/peer_state.h
@@ -35,7 +35,7 @@
                               ///< never
     room_t room;              ///< as received, minus what was assigned since
     bool has_targets;         ///< its pool may start tasks
-    bool is_lapsed;           ///< its partitions may have been passed on
+    bool is_lapsed;           ///< its partitions have been passed on
     uint32_t backlog_ms;
     link_clock_t clock; ///< of the peer, on the current link
 };
--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -16,7 +16,7 @@
     const node_record_t *record;
     bool is_self;
     bool is_reachable;           ///< its link is up, or has not been tried yet
-    bool is_lapsed;              ///< the store may have passed its partitions on
+    bool is_lapsed;              ///< the store has passed its partitions on
     uint32_t missed_hello_count; ///< consecutive hellos without an answer
 } member_t;
 
@@ -73,9 +73,9 @@
 
 /// Decides how many owners the targets of a data centre need: at most one for
 /// each `targets_per_owner`, but no nodes with a small share of a core as long
-/// as the others can serve all targets. A partition is as large for a weak node
-/// as for a strong one, and under load the weak one is late. Fewer owners also
-/// make better use of the targets: more of them are seen by each.
+/// as the others can serve all targets. A partition is as large for a weak
+/// node as for a strong one, and under load the weak one is late. Fewer owners
+/// also make better use of the targets: more of them are seen by each.
 uint32_t members_decide_owner_count(const members_t *members, const char *dc,
                                     uint32_t target_count,
                                     uint32_t targets_per_owner);
