--- a/src/ownership/members.h
+++ b/src/ownership/members.h
@@ -15,8 +15,8 @@
     arena_t *arena;
     const node_record_t *record;
     bool is_self;
-    bool is_reachable; ///< its link is up, or has not been tried yet
-    bool is_lapsed;    ///< the store may have passed its partitions on
+    bool is_reachable;           ///< its link is up, or has not been tried yet
+    bool is_lapsed;              ///< the store has passed its partitions on
     uint32_t missed_hello_count; ///< consecutive hellos without an answer
 } member_t;
 
