--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -42,6 +42,12 @@
     's/if (request->required_header != NULL \&\& !request->has_required_header \&\&/if (false \&\&/'
 mutant unknown-is-not-run functional_test_faults src/dispatch/tries.c \
     's/(try_outcome_t){kJobEventTryFailed, kErrorKindTargetLost,/(try_outcome_t){kJobEventTryNotRun, kErrorKindTargetLost,/'
+mutant value-of-work test_value src/pool/value.c \
+    's/kDelayPermille \/$/kDelayPermille * 0 \//'
+mutant value-of-priority test_value src/pool/value.c \
+    's/kPriorityFactorPermille;/kPermille;/'
+mutant value-cost test_value src/pool/value.c \
+    's/return (int64_t)(share \* kPermille \/ value);/return kPermille;/'
 mutant submitted-bit test_id_registry src/core/id_registry.c \
     's/block->submitted\[index \/ kWordBits\] |=.*/(void)0;/'
 mutant start-by-deadline test_id_registry src/core/id_registry.c \
