--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -8,6 +8,7 @@
 #include "node/catalog.h"
 #include "node/clients.h"
 #include "node/coordinator.h"
+#include "node/handover.h"
 #include "node/record.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -27,12 +28,8 @@
     kOrphanPercent = 60,
     kLapseSlackMs = 500, ///< beyond the time to live of a member: a join that
                          ///< is repeated after a lost answer comes in time
-    kHandoverMs = 1000,  ///< for which revoked partitions still get runs
-    /// Revoked partitions get short runs for at least this long after each
-    /// check that has found earlier runs on them.
-    kHandoverStepMs = 250,
-    kRevokeTimeoutMs = 2500, ///< for runs on revoked partitions to end
-    kRevokeCheckMs = 40,     ///< between checks of these runs
+    kRetireCheckMs = 40, ///< between checks of a handover that precedes
+                         ///< the leave
     /// A read of the store counts for this long after it was sent: it waits
     /// for up to 1.5 s, and the next one is not answered sooner.
     kStoreReadTtlMs = 3500,
@@ -102,19 +99,6 @@
                : (uint32_t)kJoinRetryLimitMs;
 }
 
-/// Sets until when the targets of revoked partitions get runs.
-static void
-plan_handover(dc_group_t *group, int64_t now_ns)
-{
-    if (group->partitions.revoked_count == 0) {
-        group->revoked_since_ns = 0;
-    }
-    else if (group->revoked_since_ns == 0) {
-        group->revoked_since_ns = now_ns;
-        group->handover_ns = now_ns + MS_TO_NS(kHandoverMs);
-    }
-}
-
 void
 node_handle_join_reply(node_t *node, const char *dc, const join_reply_t *reply)
 {
@@ -155,77 +139,12 @@
         log_event("cells_changed", "dc=%s generation=%llu held=%u before=%u",
                   dc, (unsigned long long)reply->generation,
                   partitions_count_held(&group->partitions), held_before);
-        plan_handover(group, now_ns);
+        handover_plan(group, now_ns);
         catalog_update_pool(node, group, now_ns);
     }
     node_schedule_advance(node);
 }
 
-/// The runs on the targets of revoked partitions.
-typedef struct {
-    bool *is_busy;    ///< by partition: has runs
-    bool is_any_busy; ///< a revoked partition has runs
-    bool
-        has_old_runs; ///< runs that started before the partitions were revoked
-} revoked_runs_t;
-
-static revoked_runs_t
-read_revoked_runs(const node_t *node, const dc_group_t *group)
-{
-    const partitions_t *partitions = &group->partitions;
-    revoked_runs_t runs = {
-        .is_busy = calloc(partitions->count, sizeof *runs.is_busy)};
-    for (const catalog_target_t *target = node->catalog; target != NULL;
-         target = target->next) {
-        uint32_t at = partitions_find(partitions, target->info.id);
-        if (target->group != group || !partitions->is_revoked[at] ||
-            pool_count_target_runs(node->pool, target->info.id) == 0) {
-            continue;
-        }
-        runs.is_busy[at] = true;
-        runs.is_any_busy = true;
-        runs.has_old_runs |= pool_has_runs_since_before(
-            node->pool, target->info.id, group->revoked_since_ns);
-    }
-    return runs;
-}
-
-/// Releases revoked partitions. The store passes on all of them at once, so
-/// they are released together, and used for short runs until the longest of
-/// the earlier runs has ended. After kRevokeTimeoutMs, all are released.
-///
-/// @return when to call it again
-static int64_t
-release_revoked(node_t *node, dc_group_t *group, int64_t now_ns)
-{
-    partitions_t *partitions = &group->partitions;
-    plan_handover(group, now_ns);
-    if (partitions->revoked_count == 0) {
-        return INT64_MAX;
-    }
-    int64_t end_ns = group->revoked_since_ns + MS_TO_NS(kRevokeTimeoutMs);
-    revoked_runs_t runs = read_revoked_runs(node, group);
-    if (runs.has_old_runs) {
-        int64_t later_ns = min_ns(now_ns + MS_TO_NS(kHandoverStepMs), end_ns);
-        group->handover_ns =
-            later_ns > group->handover_ns ? later_ns : group->handover_ns;
-    }
-    bool is_due = !runs.is_any_busy || group->handover_ns <= now_ns;
-    for (uint32_t i = 0; i < partitions->count; i++) {
-        if (partitions->is_revoked[i] &&
-            (end_ns <= now_ns || (is_due && !runs.is_busy[i]))) {
-            partitions_release(partitions, i);
-        }
-    }
-    free(runs.is_busy);
-    catalog_update_pool(node, group, now_ns);
-    if (partitions->revoked_count > 0) {
-        return now_ns + MS_TO_NS(kRevokeCheckMs);
-    }
-    group->join_due_ns = now_ns;
-    return now_ns;
-}
-
 /// @return the next target to probe in a data centre, or NULL
 static const pool_target_info_t *
 next_probe_target(const node_t *node, dc_group_t *group)
@@ -374,10 +293,10 @@
         group->is_retiring = true;
         partitions_update(&group->partitions,
                           group->partitions.newest_generation, NULL, 0);
-        plan_handover(group, now_ns);
+        handover_plan(group, now_ns);
         catalog_update_pool(node, group, now_ns);
     }
-    release_revoked(node, group, now_ns);
+    handover_release(node, group, now_ns);
     if (group->partitions.revoked_count == 0) {
         leave_group(node, group, "enough owners");
     }
@@ -397,7 +316,7 @@
         // The decision to leave stands whatever other nodes do meanwhile: the
         // handover has begun.
         retire_from_group(node, group, now_ns);
-        return now_ns + (int64_t)kRevokeCheckMs * kNsPerMs;
+        return now_ns + (int64_t)kRetireCheckMs * kNsPerMs;
     }
     candidate_t candidate = make_candidate(node, group, now_ns);
     int64_t join_ns = candidate_join_ns(&candidate, now_ns);
@@ -421,7 +340,7 @@
     int64_t leave_ns = candidate_leave_ns(&candidate);
     if (leave_ns <= now_ns) {
         retire_from_group(node, group, now_ns);
-        return now_ns + (int64_t)kRevokeCheckMs * kNsPerMs;
+        return now_ns + (int64_t)kRetireCheckMs * kNsPerMs;
     }
     join_ns = join_ns < probe_ns ? join_ns : probe_ns;
     return join_ns < leave_ns ? join_ns : leave_ns;
@@ -449,7 +368,7 @@
     for (uint32_t i = 0; i < node->group_count; i++) {
         dc_group_t *group = &node->groups[i];
         int64_t membership_ns = update_membership(node, group, now_ns);
-        int64_t release_ns = release_revoked(node, group, now_ns);
+        int64_t release_ns = handover_release(node, group, now_ns);
         due_ns = membership_ns < due_ns ? membership_ns : due_ns;
         due_ns = release_ns < due_ns ? release_ns : due_ns;
         if (!group->is_joined || group->is_join_pending) {
