pool: work that a caller declares is bounded before it is averaged

Cause: the mean work of a queue is kept as a signed number; a job of 4,096 tasks with the largest cores and times that a message can hold overflowed it. Found in reading, before it was released.

Change: the work of a job counts up to 10^15. test_value submits such jobs.

--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -6,6 +6,8 @@
 #include "base/hash.h"
 #include "pool/state.h"
 
+static const uint64_t kMaxWork = UINT64_C(1000000000000000);
+
 enum {
     kPathStepLimit = 64,    ///< steps that critical_path_ms considers
     kMinRetryAfterMs = 500, ///< least retry_after_ms of a refusal
@@ -250,15 +252,23 @@
     return order;
 }
 
-/// @return the work of all tasks, in 1/1000 core * 1 ms
+static uint64_t
+min_work(uint64_t left, uint64_t right)
+{
+    return left < right ? left : right;
+}
+
+/// @return the work of all tasks, in 1/1000 core * 1 ms; at most kMaxWork, as
+///         callers may declare anything
 static uint64_t
 sum_work(const order_t *order)
 {
     uint64_t work = 0;
     for (uint32_t i = 0; i < order->steps_count; i++) {
         const order_step_t *step = &order->steps[i];
-        work +=
-            (uint64_t)step->task_count * step->cpu_mcores * step->estimate_ms;
+        uint64_t task_work =
+            min_work((uint64_t)step->cpu_mcores * step->estimate_ms, kMaxWork);
+        work = min_work(work + step->task_count * task_work, kMaxWork);
     }
     return work;
 }
--- a/tests/unit/test_value.c
+++ b/tests/unit/test_value.c
@@ -151,6 +151,32 @@
     CU_ASSERT(after.completed[1] > 0);
 }
 
+/// A caller declares the largest values that a message can hold: its job is
+/// ranked, and those of others as before.
+static void
+test_absurd_work_is_bounded(void)
+{
+    const pool_limits_t limits = {.lease_ms = 1000,
+                                  .orphan_ms = 1200,
+                                  .remote_permille = 1500,
+                                  .wait_order = kWaitOrderValue};
+    surge_t surge = {0};
+    sim_init(&sim, 1, 1);
+    sim.work_ns = read_work;
+    sim.state = &surge;
+    sim.on_settled = count_result;
+    pool_set_limits(sim.pools[0], &limits);
+    sim_assign_targets(&sim, 0, 5);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(50));
+    for (uint32_t i = 0; i < 5; i++) {
+        sim_submit_equal(&sim, 0, "1", 4096, UINT32_MAX, 0);
+    }
+    sim_submit_equal(&sim, 0, "2", 1, 100, 0);
+    sim_run_until(&sim, sim.now_ns + MS_TO_NS(1000));
+    CU_ASSERT_EQUAL(surge.completed[read_kind(2)], 1);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -159,6 +185,7 @@
         {"urgent, patient and large jobs", test_urgent_patient_and_large_jobs},
         {"no job is overtaken for ever", test_no_job_is_overtaken_for_ever},
         {"a surge turns fewer away", test_surge_turns_fewer_away},
+        {"absurd work is bounded", test_absurd_work_is_bounded},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
