members: the number of owners is decided in n log n

Since the core share of each rank was looked up by comparing all nodes with all others, once for each number of owners tried: 50 x 300 x 100 comparisons of names for each decision on membership.

Change: the core shares are listed once and sorted.

--- a/src/ownership/members.c
+++ b/src/ownership/members.c
@@ -201,42 +201,40 @@
     return count;
 }
 
-/// @return the core share of the available node of a data centre that ranks
-///         at a position; 0 if there are fewer
-static uint32_t
-find_ranked_core_milli(const members_t *members, const char *dc, uint32_t rank)
+static int
+compare_descending(const void *left, const void *right)
+{
+    uint32_t a = *(const uint32_t *)left;
+    uint32_t b = *(const uint32_t *)right;
+    return (a < b) - (a > b);
+}
+
+/// Lists the core shares of the available nodes of a data centre, the largest
+/// first, as the nodes rank.
+///
+/// @param shares_milli  has room for all available nodes
+static void
+list_shares(const members_t *members, const char *dc, uint32_t *shares_milli)
 {
+    uint32_t count = 0;
     for (const member_t *member = members->first; member != NULL;
          member = member->next) {
-        uint32_t before_count = 0;
-        if (!is_available_in_dc(member, dc)) {
-            continue;
-        }
-        for (const member_t *other = members->first; other != NULL;
-             other = other->next) {
-            before_count +=
-                other != member && is_available_in_dc(other, dc) &&
-                members_rank_before(other->record, member->record, dc);
-        }
-        if (before_count == rank) {
-            return member->record->core_share_milli;
+        if (is_available_in_dc(member, dc)) {
+            shares_milli[count++] = member->record->core_share_milli;
         }
     }
-    return 0;
+    qsort(shares_milli, count, sizeof *shares_milli, compare_descending);
 }
 
-/// @return how many nodes of a data centre have at least half of the core
-///         share of its strongest node
+/// @return how many nodes have at least half of the core share of the
+///         strongest one
 static uint32_t
-count_strong(const members_t *members, const char *dc)
+count_strong(const uint32_t *shares_milli, uint32_t available)
 {
-    uint32_t largest_milli = find_ranked_core_milli(members, dc, 0);
     uint32_t count = 0;
-    for (const member_t *member = members->first; member != NULL;
-         member = member->next) {
-        count +=
-            is_available_in_dc(member, dc) &&
-            member->record->core_share_milli * kStrongDivisor >= largest_milli;
+    while (count < available &&
+           shares_milli[count] * kStrongDivisor >= shares_milli[0]) {
+        count++;
     }
     return count;
 }
@@ -246,13 +244,12 @@
 /// @return the least number of owners, in order of rank, whose weakest has
 ///         enough of a core for its part; `limit` if no number has
 static uint32_t
-count_sufficient(const members_t *members, const char *dc,
-                 uint32_t target_count, uint32_t limit)
+count_sufficient(const uint32_t *shares_milli, uint32_t limit,
+                 uint32_t target_count)
 {
     for (uint32_t count = 1; count < limit; count++) {
-        uint32_t weakest_milli =
-            find_ranked_core_milli(members, dc, count - 1);
-        if (target_count * kTargetCoreMilli <= weakest_milli * count) {
+        if (target_count * kTargetCoreMilli <=
+            shares_milli[count - 1] * count) {
             return count;
         }
     }
@@ -269,11 +266,14 @@
     if (available == 0) {
         return most;
     }
-    uint32_t sufficient = count_sufficient(members, dc, target_count, most);
-    uint32_t strong = count_strong(members, dc);
+    most = most < available ? most : available;
+    uint32_t *shares_milli = calloc(available, sizeof *shares_milli);
+    list_shares(members, dc, shares_milli);
+    uint32_t sufficient = count_sufficient(shares_milli, most, target_count);
+    uint32_t strong = count_strong(shares_milli, available);
+    free(shares_milli);
     uint32_t wanted = sufficient > strong ? sufficient : strong;
-    wanted = wanted < most ? wanted : most;
-    return wanted < available ? wanted : available;
+    return wanted < most ? wanted : most;
 }
 
 /// @return when a new node stops waiting for the others; 0 for a restarted one
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -291,6 +291,6 @@
 mutant outage-ends test_owner src/node/owner.c \
     's/if (!was_reachable) {/if (was_reachable \&\& false) {/'
 mutant weakest-part test_ownership src/ownership/members.c \
-    's/find_ranked_core_milli(members, dc, count - 1);/find_ranked_core_milli(members, dc, 0);/'
+    's/shares_milli\[count - 1\] \* count/shares_milli[0] * count/'
 [ "$failures" = 0 ] || exit 1
 echo "mutants: all caught"
