--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -6,7 +6,7 @@
 #include "base/hash.h"
 #include "pool/state.h"
 
-static const uint64_t kMaxWork = UINT64_C(1000000000000000);
+#define MAX_WORK UINT64_C(1000000000000000) // of a job
 
 enum {
     kPathStepLimit = 64,    ///< steps that critical_path_ms considers
@@ -258,7 +258,7 @@
     return left < right ? left : right;
 }
 
-/// @return the work of all tasks, in 1/1000 core * 1 ms; at most kMaxWork, as
+/// @return the work of all tasks, in 1/1000 core * 1 ms; at most MAX_WORK, as
 ///         callers may declare anything
 static uint64_t
 sum_work(const order_t *order)
@@ -267,8 +267,8 @@
     for (uint32_t i = 0; i < order->steps_count; i++) {
         const order_step_t *step = &order->steps[i];
         uint64_t task_work =
-            min_work((uint64_t)step->cpu_mcores * step->estimate_ms, kMaxWork);
-        work = min_work(work + step->task_count * task_work, kMaxWork);
+            min_work((uint64_t)step->cpu_mcores * step->estimate_ms, MAX_WORK);
+        work = min_work(work + step->task_count * task_work, MAX_WORK);
     }
     return work;
 }
