--- a/review/kit-3/lib.sh
+++ b/review/kit-3/lib.sh
@@ -9,7 +9,6 @@
 root=$(cd "$here/../.." && pwd)
 kit=$root/build-review-3
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 memory_mb=260
 pids=()
 node_pids=()
