--- a/review/kit-3/lib.sh
+++ b/review/kit-3/lib.sh
@@ -27,6 +27,11 @@
         kill -KILL "$pid" 2>/dev/null
     done
     rm -rf "$folder" # ends the loops of clients, too
+    # A script that follows at once needs the addresses.
+    for _ in $(seq 60); do
+        kill -0 "${pids[@]}" 2>/dev/null || break
+        sleep 0.05
+    done
     wait 2>/dev/null
 }
 trap stop_all EXIT
