Cast an int to char where clang-tidy asks for it on x86_64

Cause: in json_bounds_count_values the conditional operator promotes both of its char operands to int, and assigning the result narrows it. Where char is signed (x86_64) bugprone-narrowing-conversions reports that, so make lint, and with it make test, ended with status 2; where char is unsigned (arm64) it does not.

The value is '\0' or the char that quote already held, so the cast changes nothing at run time. No other file has a finding.

Seen on x86_64: make lint status 2 before, 0 after.

--- a/src/codec/json_bounds.c
+++ b/src/codec/json_bounds.c
@@ -11,7 +11,7 @@
         char c = (char)text.data[i];
         if (quote != '\0') {
             i += c == '\\';
-            quote = c == quote ? '\0' : quote;
+            quote = (char)(c == quote ? '\0' : quote);
         }
         else if (c == '"' || c == '\'') {
             quote = c;
