Bound the calls and the memory that jobs of many small tasks take

Cause: one pass of placement starts all tasks that fit, each with an HTTP request of about 13 KB and a connection, and nothing bounds their sum; nor was the memory of orders bounded. Each placement summed what is free on a target over its runs, so the pass took half a minute. Ruled out: bodies (92 bytes, charged already) and the tasks of these orders (8 MB).

The stand-in's runners now know tasks of other sizes ("MS MCORES"), and have room for more of them; usual tasks are as before.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -12,6 +12,7 @@
 
 enum {
     kMaxSpareHandles = 4096,
+    kMaxKeptConnections = 4096,
     kInitialBodyBytes = 1024,
     kMaxHeaderLineBytes = 128,
     kMaxHeaders = 8
@@ -361,10 +362,16 @@
     curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, set_timeout);
     curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
     curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, 4096L);
+    http_client_keep_connections(client, kMaxKeptConnections);
     return client;
 }
 
+void
+http_client_keep_connections(http_client_t *client, uint32_t count)
+{
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, (long)count);
+}
+
 /// Takes a spare request, or creates one and sets the options that never
 /// change.
 static http_request_t *
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -55,6 +55,9 @@
 
 http_client_t *http_client_create(loop_t *loop);
 
+/// Sets how many connections are kept for reuse, 4,096 before.
+void http_client_keep_connections(http_client_t *client, uint32_t count);
+
 /// Starts a request. on_done is called once, from the loop.
 ///
 /// @return a handle for http_client_abort, valid until on_done
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -180,6 +180,8 @@
     gauge_set(kGaugeTargetsOpen, status.target_count);
     gauge_set(kGaugeOrdersOpen, status.order_count);
     gauge_set(kGaugeRunsOpen, status.run_count);
+    gauge_set(kGaugeOrderBytes, status.order_bytes);
+    gauge_set(kGaugeTargetCalls, status.call_count);
     gauge_set(kGaugeConfigVersion,
               node->queues == NULL ? 0 : node->queues->version);
 }
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -11,7 +11,9 @@
 #include "node/handover.h"
 #include "node/record.h"
 #include "runtime/clock.h"
+#include "runtime/descriptors.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 enum {
     kJoinPeriodMs = 350,    ///< between joins; the shortest time to live of a
@@ -33,6 +35,11 @@
     /// A read of the store counts for this long after it was sent: it waits
     /// for up to 1.5 s, and the next one is not answered sooner.
     kStoreReadTtlMs = 3500,
+    kCallMemoryPercent = 5, ///< of the memory of the process
+    kCallBytes = 20 * 1024, ///< of a pending call with its connection
+    kCallDescriptorPercent = 8,
+    kMinCalls = 32,
+    kMaxCalls = 4096,
     kProbePeriodMs = 500,   ///< between probes of a data centre
     kProbeReplyTtlMs = 1300 ///< a reply counts for this long, so that one
                             ///< lost reply does no harm
@@ -487,17 +494,35 @@
                                     .fenced = handle_fenced,
                                     .log = log_decision};
 
+/// @return how many calls that start or stop runs may be pending, by the
+///         memory and the descriptors that they need
+static uint32_t
+read_call_limit(const node_settings_t *settings)
+{
+    if (settings->target_call_limit > 0) {
+        return settings->target_call_limit;
+    }
+    uint64_t count = memory_limit_bytes(settings->memory_mb) / 100 *
+                     kCallMemoryPercent / kCallBytes;
+    uint32_t share = descriptors_share(kCallDescriptorPercent, kMaxCalls);
+    count = count < share ? count : share;
+    return count > kMinCalls ? (uint32_t)count : (uint32_t)kMinCalls;
+}
+
 pool_limits_t
 owner_limits(const node_settings_t *settings)
 {
     uint32_t lease_ms = settings->resubmit_ms * kLeasePercent / 100;
-    return (pool_limits_t){.lease_ms = lease_ms < settings->hold_limit_ms
-                                           ? lease_ms
-                                           : settings->hold_limit_ms,
-                           .orphan_ms =
-                               settings->resubmit_ms * kOrphanPercent / 100,
-                           .remote_permille = settings->remote_factor,
-                           .wait_order = settings->wait_order};
+    return (pool_limits_t){
+        .lease_ms = lease_ms < settings->hold_limit_ms
+                        ? lease_ms
+                        : settings->hold_limit_ms,
+        .orphan_ms = settings->resubmit_ms * kOrphanPercent / 100,
+        .remote_permille = settings->remote_factor,
+        .wait_order = settings->wait_order,
+        .call_limit = read_call_limit(settings),
+        .order_bytes = memory_limit_order_bytes(settings->order_memory_mb,
+                                                settings->memory_mb)};
 }
 
 void
@@ -530,11 +555,8 @@
 node_handle_stop_reply(node_t *node, pool_run_t *run,
                        const call_reply_t *reply)
 {
-    if (run != NULL) {
-        pool_handle_stop_reply(node->pool, run, reply,
-                               node_update_now_ns(node));
-        node_schedule_advance(node);
-    }
+    pool_handle_stop_reply(node->pool, run, reply, node_update_now_ns(node));
+    node_schedule_advance(node);
 }
 
 void
--- a/src/pool/lease.c
+++ b/src/pool/lease.c
@@ -33,16 +33,11 @@
 lease_read_limit_ms(const pool_t *pool, const pool_target_t *target,
                     int64_t now_ns)
 {
-    int64_t end_by_ns = INT64_MAX;
-    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
-        if (!run->is_ended) {
-            end_by_ns = min_ns(end_by_ns, run->end_by_ns);
-        }
-    }
-    if (end_by_ns == INT64_MAX) {
+    if (target->end_by_ns == INT64_MAX) {
         return pool->limits.lease_ms;
     }
-    int64_t left_ns = end_by_ns - now_ns - read_error_ns(target, now_ns);
+    int64_t left_ns =
+        target->end_by_ns - now_ns - read_error_ns(target, now_ns);
     int64_t lease_ms = left_ns / MS_TO_NS(100 + kClockDriftPercent) * 100;
     if (lease_ms <= 0) {
         return 0;
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -9,6 +9,10 @@
 #define MAX_WORK UINT64_C(1000000000000000) // of a job
 
 enum {
+    kOrderBytes = 10240, ///< of its arena and names
+    /// An order of this size may use all of the budget, a larger one a part.
+    kSmallOrderBytes = 32768,
+    kMemoryLogMs = 1000,    ///< between log lines on memory that is used up
     kPathStepLimit = 64,    ///< steps that critical_path_ms considers
     kMinRetryAfterMs = 500, ///< least retry_after_ms of a refusal
     kRetrySpreadDivisor = 2 ///< up to half of it is added, by the job's name
@@ -46,6 +50,20 @@
     return longest_ms;
 }
 
+/// @return the memory that an order takes until its runs have ended
+static uint64_t
+estimate_bytes(const order_t *order)
+{
+    uint64_t bytes = kOrderBytes + strlen(order->payload) +
+                     (uint64_t)count_tasks(order) *
+                         (sizeof(pool_task_t) + sizeof(pool_run_t));
+    for (uint32_t i = 0; i < order->steps_count; i++) {
+        bytes += sizeof(order_step_t) +
+                 order->steps[i].depends_on_count * sizeof(uint32_t);
+    }
+    return bytes;
+}
+
 /// Copies an order with its strings, which belong to the received message.
 static order_t *
 copy_order(const order_t *order, arena_t *arena)
@@ -115,6 +133,13 @@
     pool->order_count--;
 }
 
+static void
+free_order(pool_t *pool, pool_order_t *order)
+{
+    memory_budget_release(&pool->order_memory, order->charged_bytes);
+    arena_destroy(order->arena);
+}
+
 /// Stops the runs of an order and frees it.
 ///
 /// @param given_up_ns  the earliest time when the caller may have given up
@@ -128,7 +153,7 @@
             run_orphan(pool, order->tasks[i].run, given_up_ns, now_ns);
         }
     }
-    arena_destroy(order->arena);
+    free_order(pool, order);
 }
 
 static const counter_t outcome_counters[] = {
@@ -199,7 +224,7 @@
 /// Reports the result of a new order, which is not in the pool's list yet, and
 /// frees it.
 static void
-reject_order(pool_t *pool, const pool_order_t *order, order_outcome_t outcome,
+reject_order(pool_t *pool, pool_order_t *order, order_outcome_t outcome,
              error_kind_t kind, uint32_t after_ms)
 {
     pool_order_result_t result = {.client = order->client,
@@ -210,7 +235,39 @@
                                   .retry_after_ms = after_ms};
     counter_add(outcome_counters[outcome], 1);
     pool->ops->settle(pool->owner, &result);
-    arena_destroy(order->arena);
+    free_order(pool, order);
+}
+
+/// Charges the memory of a new order, or refuses the order.
+///
+/// @return the charged bytes; 0 if it was refused
+static uint64_t
+charge_order(pool_t *pool, const order_t *order, uint64_t client,
+             uint64_t request, int64_t now_ns)
+{
+    uint64_t bytes = estimate_bytes(order);
+    budget_use_t use =
+        bytes <= kSmallOrderBytes ? kBudgetUseSmall : kBudgetUseGrowth;
+    if (memory_budget_charge(&pool->order_memory, bytes, use)) {
+        return bytes;
+    }
+    if (now_ns - pool->memory_logged_ns >= MS_TO_NS(kMemoryLogMs)) {
+        pool->memory_logged_ns = now_ns;
+        pool->ops->log(pool->owner, "order_memory_short", order->job,
+                       "open orders hold the memory for orders");
+    }
+    counter_add(kCounterOrdersOverMemory, 1);
+    counter_add(outcome_counters[kOrderOutcomeRefused], 1);
+    pool_order_result_t result = {
+        .client = client,
+        .request = request,
+        .job = order->job,
+        .outcome = kOrderOutcomeRefused,
+        .kind = kErrorKindOverload,
+        .retry_after_ms =
+            retry_after_ms(wait_backlog_ms(pool, NULL), order->job)};
+    pool->ops->settle(pool->owner, &result);
+    return 0;
 }
 
 /// @return whether a task of an order must not be started again. One that is
@@ -354,7 +411,13 @@
         existing->deadline_ns = now_ns + MS_TO_NS(order->left_ms);
         return;
     }
+    uint64_t charged_bytes =
+        charge_order(pool, order, client, request, now_ns);
+    if (charged_bytes == 0) {
+        return;
+    }
     pool_order_t *added = create_order(pool, order, now_ns);
+    added->charged_bytes = charged_bytes;
     added->client = client;
     added->request = request;
     create_tasks(added);
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/counters.h"
 #include "pool/state.h"
 
 enum {
@@ -32,11 +33,9 @@
 place_read_free(const pool_target_t *target)
 {
     resources_t available = read_capacity(target);
-    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
-        available.cpu_mcores -= run->cpu_mcores;
-        available.memory_mb -= run->memory_mb;
-        available.accelerators -= run->accelerators;
-    }
+    available.cpu_mcores -= target->used.cpu_mcores;
+    available.memory_mb -= target->used.memory_mb;
+    available.accelerators -= target->used.accelerators;
     return available;
 }
 
@@ -125,12 +124,10 @@
 static bool
 is_within_care(const pool_target_t *target, care_t care)
 {
-    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
-        if (!run->is_ended && (care == kCareAlone || run->is_alone)) {
-            return false;
-        }
+    if (care == kCareAlone) {
+        return target->open_count == 0;
     }
-    return care == kCareAlone || !target->is_reserved;
+    return target->alone_count == 0 && !target->is_reserved;
 }
 
 bool
@@ -176,8 +173,8 @@
             choice.fastest_ns = expected_ns;
         }
         if (score < choice.score_ns && fits(&available, step) &&
-            is_within_target_limit(target, task, step) &&
-            is_within_care(target, care)) {
+            calls_allow_start(pool, target) && is_within_care(target, care) &&
+            is_within_target_limit(target, task, step)) {
             choice.target = target;
             choice.score_ns = score;
             choice.expected_ns = expected_ns;
@@ -266,6 +263,10 @@
         if (care > kCareAlone) {
             continue;
         }
+        if (!calls_have_room(pool)) {
+            counter_add(kCounterStartsDelayed, 1);
+            return;
+        }
         choice_t choice = choose_target(pool, task, care, now_ns);
         if (choice.target == NULL && care == kCareAlone) {
             reserve_target(pool, task, now_ns);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -25,6 +25,12 @@
     [kReplyInvalid] = "invalid",
 };
 
+static uint64_t
+read_order_bytes(const pool_limits_t *limits)
+{
+    return limits->order_bytes == 0 ? UINT64_MAX : limits->order_bytes;
+}
+
 pool_t *
 pool_create(const pool_limits_t *limits, const pool_ops_t *ops, void *owner)
 {
@@ -39,6 +45,7 @@
                      .losses = losses_create(),
                      .cancelled = cancelled_create()};
     wait_init(pool);
+    memory_budget_init(&pool->order_memory, read_order_bytes(limits));
     return pool;
 }
 
@@ -46,6 +53,7 @@
 pool_set_limits(pool_t *pool, const pool_limits_t *limits)
 {
     pool->limits = *limits;
+    pool->order_memory.limit_bytes = read_order_bytes(limits);
 }
 
 void
@@ -134,6 +142,7 @@
                               .clock_ns = now_ns,
                               .list_due_ns = now_ns,
                               .handover_ns = INT64_MAX,
+                              .end_by_ns = INT64_MAX,
                               .slowness_permille = kNominalPermille};
     apr_hash_set(pool->targets, target->info.id, APR_HASH_KEY_STRING, target);
     target->prev = pool->last_target;
@@ -296,6 +305,9 @@
 {
     pool_status_t status = {.order_count = pool->order_count,
                             .run_count = pool->run_count,
+                            .call_count = pool->pending_calls,
+                            .order_bytes =
+                                atomic_load(&pool->order_memory.used_bytes),
                             .backlog_ms = wait_backlog_ms(pool, NULL)};
     for (const pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -105,7 +105,7 @@
     run_name_t name;
     uint64_t token;
     int64_t deadline_ns;
-    pool_run_t *run; ///< for pool_handle_stop_reply; NULL: reply ignored
+    pool_run_t *run; ///< for pool_handle_stop_reply; NULL: unknown to the pool
 } stop_call_t;
 
 /// Call that lists the active and ended runs of a target and may renew its
@@ -132,9 +132,9 @@
     uint32_t retry_after_ms;
 } pool_order_result_t;
 
-/// Functions that the pool calls. Each start, stop or list call, except a stop
-/// without a run, is answered exactly once through the matching
-/// pool_handle_*_reply function, after the call has returned.
+/// Functions that the pool calls. Each start, stop or list call is answered
+/// exactly once through the matching pool_handle_*_reply function, after the
+/// call has returned.
 typedef struct {
     void (*start)(void *owner, const start_call_t *call);
     void (*stop)(void *owner, const stop_call_t *call);
@@ -159,6 +159,10 @@
     /// time inside it.
     uint32_t remote_permille;
     wait_order_t wait_order; ///< how waiting orders compete for resources
+    /// Calls that start or stop runs and are pending at a time; 0: no limit.
+    uint32_t call_limit;
+    /// Memory for orders with their tasks and runs; 0: no limit.
+    uint64_t order_bytes;
 } pool_limits_t;
 
 pool_t *pool_create(const pool_limits_t *limits, const pool_ops_t *ops,
@@ -267,6 +271,8 @@
 /// Current state of a pool.
 typedef struct {
     uint32_t target_count; ///< targets on which the pool may start tasks
+    uint32_t call_count;   ///< pending calls that start or stop runs
+    uint64_t order_bytes;  ///< memory that is charged for orders
     uint32_t order_count;
     uint32_t run_count;
     uint64_t free_mcores;
--- a/src/pool/runs.c
+++ b/src/pool/runs.c
@@ -25,6 +25,7 @@
     kFirstBackoffMs = 5,
     kBackoffDoublingLimit = 6, ///< of kFirstBackoffMs: up to 320 ms
     kCpuLimitMs = 1000, ///< by then, the target's record has been read again
+    kCallRetryMs = 5,   ///< of a call for which there was no room
     kLogTextBytes = 128
 };
 
@@ -38,6 +39,11 @@
     }
     target->runs = run;
     target->run_count++;
+    target->open_count++;
+    target->alone_count += run->is_alone;
+    target->used.cpu_mcores += run->cpu_mcores;
+    target->used.memory_mb += run->memory_mb;
+    target->used.accelerators += run->accelerators;
     pool->run_count++;
 }
 
@@ -82,7 +88,7 @@
                          .run = run};
     run->starts_sent++;
     run->pending_starts++;
-    run->target->pending_calls++;
+    calls_record_sent(pool, run->target);
     run->resend_due_ns = run->starts_sent == kStartSendLimit
                              ? INT64_MAX
                              : now_ns + resend_interval_ns(pool);
@@ -178,6 +184,19 @@
     session_free_dropped(pool, target);
 }
 
+/// Updates by when a target's runs must have ended, after one that had to be
+/// the first has.
+static void
+update_end_by(pool_target_t *target)
+{
+    target->end_by_ns = INT64_MAX;
+    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        if (!run->is_ended) {
+            target->end_by_ns = min_ns(target->end_by_ns, run->end_by_ns);
+        }
+    }
+}
+
 /// Marks a run as ended, releases its resources and detaches its task.
 ///
 /// @return the task, or NULL
@@ -185,11 +204,17 @@
 mark_ended(pool_run_t *run)
 {
     pool_task_t *task = run->task;
+    pool_target_t *target = run->target;
     run->task = NULL;
     run->is_ended = true;
-    run->cpu_mcores = 0;
-    run->memory_mb = 0;
-    run->accelerators = 0;
+    target->open_count--;
+    target->alone_count -= run->is_alone;
+    target->used.cpu_mcores -= run->cpu_mcores;
+    target->used.memory_mb -= run->memory_mb;
+    target->used.accelerators -= run->accelerators;
+    if (run->end_by_ns != INT64_MAX && run->end_by_ns == target->end_by_ns) {
+        update_end_by(target);
+    }
     if (task != NULL) {
         task->run = NULL;
     }
@@ -287,7 +312,7 @@
                              : (uint32_t)kStopDoublingLimit;
     run->stops_sent++;
     run->pending_stops++;
-    run->target->pending_calls++;
+    calls_record_sent(pool, run->target);
     run->stop_due_ns =
         now_ns +
         (run->target->session == kSessionUnresponsive || run->target->is_fenced
@@ -311,6 +336,10 @@
 {
     run->task = NULL;
     run->end_by_ns = given_up_ns + MS_TO_NS(pool->limits.orphan_ms);
+    if (!run->is_ended) {
+        run->target->end_by_ns =
+            min_ns(run->target->end_by_ns, run->end_by_ns);
+    }
     run_stop(pool, run, now_ns);
 }
 
@@ -325,6 +354,9 @@
         return INT64_MAX;
     }
     if (run->resend_due_ns <= now_ns) {
+        if (!calls_allow_start(pool, run->target)) {
+            return now_ns + MS_TO_NS(kCallRetryMs);
+        }
         counter_add(kCounterStartsRepeated, 1);
         send_start(pool, run, now_ns);
     }
@@ -346,6 +378,10 @@
         return INT64_MAX;
     }
     if (run->stop_due_ns <= now_ns && !run->target->is_dropped) {
+        if (!calls_allow_stop(pool, run->target)) {
+            counter_add(kCounterStopsDelayed, 1);
+            return now_ns + MS_TO_NS(kCallRetryMs);
+        }
         send_stop(pool, run, now_ns);
     }
     return run->stop_due_ns;
@@ -450,11 +486,7 @@
 handle_no_capacity(pool_t *pool, pool_run_t *run, int64_t now_ns)
 {
     pool_target_t *target = run->target;
-    uint32_t used_mcores = 0;
-    for (const pool_run_t *other = target->runs; other != NULL;
-         other = other->next) {
-        used_mcores += other->cpu_mcores;
-    }
+    uint32_t used_mcores = (uint32_t)target->used.cpu_mcores;
     // Of the runs on the target, this one is the first that does not fit.
     target->cpu_limit_mcores = used_mcores > 1 ? used_mcores - 1 : 1;
     target->cpu_limit_until_ns = now_ns + MS_TO_NS(kCpuLimitMs);
@@ -505,7 +537,7 @@
                         const call_reply_t *reply, int64_t now_ns)
 {
     run->pending_starts--;
-    run->target->pending_calls--;
+    calls_record_reply(pool, run->target);
     if (reply->kind == kReplyUnanswered) {
         run->target->is_broken_off |= reply->is_broken_off;
         pool_record_unanswered_call(pool, run->target, now_ns);
@@ -524,8 +556,12 @@
 pool_handle_stop_reply(pool_t *pool, pool_run_t *run,
                        const call_reply_t *reply, int64_t now_ns)
 {
+    if (run == NULL) {
+        pool->pending_calls--;
+        return;
+    }
     run->pending_stops--;
-    run->target->pending_calls--;
+    calls_record_reply(pool, run->target);
     bool is_confirmed =
         reply->kind == kReplyDone || reply->kind == kReplyOtherIncarnation;
     if (is_confirmed) {
--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -3,8 +3,10 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu/compiler.h>
 
 #include "base/counters.h"
+#include "pool/name_index.h"
 #include "pool/state.h"
 
 enum {
@@ -261,32 +263,21 @@
     pool->ops->list(pool->owner, &call);
 }
 
-static bool
-run_names_equal(const run_name_t *left, const run_name_t *right)
-{
-    return left->attempt == right->attempt && left->step == right->step &&
-           left->index == right->index && strcmp(left->job, right->job) == 0;
-}
-
-static pool_run_t *
-find_run(const pool_target_t *target, const run_name_t *name)
+static void
+index_runs(const pool_target_t *target, name_index_t *index)
 {
-    pool_run_t *run = target->runs;
-    while (run != NULL && !run_names_equal(&run->name, name)) {
-        run = run->next;
+    name_index_init(index, target->run_count);
+    for (const pool_run_t *run = target->runs; run != NULL; run = run->next) {
+        name_index_add(index, &run->name);
     }
-    return run;
 }
 
-static bool
-is_listed(const list_reply_t *reply, const run_name_t *name)
+/// @return the newest run of a name, or NULL
+static pool_run_t *
+find_run(const name_index_t *runs, const run_name_t *name)
 {
-    for (uint32_t i = 0; i < reply->running_count; i++) {
-        if (run_names_equal(&reply->running[i].name, name)) {
-            return true;
-        }
-    }
-    return false;
+    const run_name_t *found = name_index_find(runs, name);
+    return found == NULL ? NULL : caa_container_of(found, pool_run_t, name);
 }
 
 /// Processes the ended runs of a list, oldest first.
@@ -294,16 +285,22 @@
 apply_ends(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
            int64_t now_ns)
 {
+    name_index_t runs;
+    if (reply->ended_count == 0) {
+        return;
+    }
+    index_runs(target, &runs);
     for (uint32_t i = 0; i < reply->ended_count; i++) {
         const listed_run_t *end = &reply->ended[i];
         if (end->end_number > target->acked) {
             target->acked = end->end_number;
         }
-        pool_run_t *run = find_run(target, &end->name);
+        pool_run_t *run = find_run(&runs, &end->name);
         if (run != NULL && !run->is_ended) {
             run_end(pool, run, end->how, now_ns);
         }
     }
+    name_index_clear(&runs);
 }
 
 /// Stops listed runs that the pool does not know. They were started by an
@@ -315,20 +312,30 @@
                   const list_reply_t *reply, int64_t now_ns)
 {
     bool has_unknown_runs = false;
+    name_index_t runs;
+    if (reply->running_count == 0) {
+        return false;
+    }
+    index_runs(target, &runs);
     for (uint32_t i = 0; i < reply->running_count; i++) {
-        pool_run_t *known = find_run(target, &reply->running[i].name);
+        pool_run_t *known = find_run(&runs, &reply->running[i].name);
         if (known != NULL && !known->is_ended) {
             continue;
         }
+        has_unknown_runs = true;
+        if (!calls_allow_stop(pool, target)) {
+            break; // the next list shows the others
+        }
         stop_call_t call = {.target = &target->info,
                             .name = reply->running[i].name,
                             .token = target->token,
                             .deadline_ns = now_ns + MS_TO_NS(kListReplyMs)};
         pool->ops->log(pool->owner, "unknown_run_stopped", call.name.job,
                        target->info.id);
+        pool->pending_calls++;
         pool->ops->stop(pool->owner, &call);
-        has_unknown_runs = true;
     }
+    name_index_clear(&runs);
     return has_unknown_runs;
 }
 
@@ -340,11 +347,17 @@
                   const list_reply_t *reply, int64_t now_ns)
 {
     pool_run_t *next;
+    name_index_t listed;
+    name_index_init(&listed, reply->running_count);
+    for (uint32_t i = 0; i < reply->running_count; i++) {
+        name_index_add(&listed, &reply->running[i].name);
+    }
     for (pool_run_t *run = target->runs; run != NULL; run = next) {
         next = run->next;
         bool was_confirmed = run->state == kRunActive &&
                              run->confirmed_ns <= target->list_sent_ns;
-        if (run->is_ended || !was_confirmed || is_listed(reply, &run->name)) {
+        if (run->is_ended || !was_confirmed ||
+            name_index_find(&listed, &run->name) != NULL) {
             continue;
         }
         if (run->born_ms < target->info.born_ms) {
@@ -355,6 +368,7 @@
         }
         run_free_ended(pool, run);
     }
+    name_index_clear(&listed);
 }
 
 /// Frees ended runs without pending calls.
@@ -400,16 +414,6 @@
     }
 }
 
-static bool
-has_run_alone(const pool_target_t *target)
-{
-    const pool_run_t *run = target->runs;
-    while (run != NULL && (run->is_ended || !run->is_alone)) {
-        run = run->next;
-    }
-    return run != NULL;
-}
-
 static void
 apply_list(pool_t *pool, pool_target_t *target, const list_reply_t *reply,
            uint64_t acked_sent, int64_t now_ns)
@@ -430,7 +434,7 @@
     free_ended_runs(pool, target);
     // The loss of a run that is alone was recorded in advance.
     losses_resolve_target(pool->losses, target->info.id, reply->born_ms,
-                          !has_run_alone(target), now_ns);
+                          target->alone_count == 0, now_ns);
     if (has_unknown_runs && target->session == kSessionReady) {
         // Its lease is not renewed before they are gone.
         target->session = kSessionNew;
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -7,6 +7,7 @@
 
 #include "base/arena.h"
 #include "base/units.h"
+#include "limit/memory_budget.h"
 #include "pool/cancelled.h"
 #include "pool/forecast.h"
 #include "pool/losses.h"
@@ -53,6 +54,7 @@
     uint32_t *step_remaining; ///< unfinished tasks of each step
     bool is_started;          ///< at least one task has been started
     value_rank_t rank;        ///< among the orders of the pool
+    uint64_t charged_bytes;   ///< of the budget of orders
     int64_t admitted_ns;
     /// Estimate at admission; 0 if no wait was expected, or once the actual
     /// one has been recorded.
@@ -104,6 +106,13 @@
     kSessionUnresponsive
 } session_state_t;
 
+/// Resources of a target; negative where more are in use than it has.
+typedef struct {
+    int64_t cpu_mcores;
+    int64_t memory_mb;
+    int64_t accelerators;
+} resources_t;
+
 /// A target of the pool.
 struct pool_target {
     pool_target_t *next;
@@ -121,7 +130,12 @@
     /// a task that must run alone.
     bool is_reserved;
     pool_run_t *runs;
+    // Kept, as there may be thousands of runs.
+    resources_t used;  ///< by runs that have not ended
+    int64_t end_by_ns; ///< the earliest of these
     uint32_t run_count;
+    uint32_t open_count;  ///< runs that have not ended
+    uint32_t alone_count; ///< of these, runs that are alone
     /// What the target had room for when it last rejected a start for lack of
     /// resources: its record may lag behind a capacity that has shrunk. 0: no
     /// such limit.
@@ -151,13 +165,6 @@
     uint32_t eject_count; ///< doublings of the next ejection time
 };
 
-/// Resources of a target; negative where more are in use than it has.
-typedef struct {
-    int64_t cpu_mcores;
-    int64_t memory_mb;
-    int64_t accelerators;
-} resources_t;
-
 struct pool {
     pool_limits_t limits;
     const pool_ops_t *ops;
@@ -170,6 +177,9 @@
     pool_order_t *last_order;
     uint32_t order_count;
     uint32_t run_count;
+    uint32_t pending_calls;       ///< that start or stop runs
+    memory_budget_t order_memory; ///< of orders with their tasks and runs
+    int64_t memory_logged_ns;     ///< when it was last logged as used up
     forecast_t *forecast;
     losses_t *losses;
     cancelled_t *cancelled;
@@ -192,6 +202,15 @@
                                  int64_t now_ns);
 bool pool_is_lossy(const pool_t *pool, int64_t now_ns);
 
+// calls.c
+
+/// @return whether a start may be sent to any target
+bool calls_have_room(const pool_t *pool);
+bool calls_allow_start(const pool_t *pool, const pool_target_t *target);
+bool calls_allow_stop(const pool_t *pool, const pool_target_t *target);
+void calls_record_sent(pool_t *pool, pool_target_t *target);
+void calls_record_reply(pool_t *pool, pool_target_t *target);
+
 // lease.c
 
 /// Grants a lease now, and records it in lease_expiry_ns.
--- a/src/runtime/memory_limit.c
+++ b/src/runtime/memory_limit.c
@@ -8,6 +8,7 @@
 enum {
     kBytesPerMb = 1024 * 1024,
     kRequestPercent = 40,
+    kOrderPercent = 15,
     /// Of the address space, which also holds stacks and what the allocator
     /// reserves for each thread.
     kAddressSpacePercent = 25
@@ -61,3 +62,10 @@
                ? (uint64_t)request_mb * kBytesPerMb
                : memory_limit_bytes(memory_mb) / 100 * kRequestPercent;
 }
+
+uint64_t
+memory_limit_order_bytes(uint32_t order_mb, uint32_t memory_mb)
+{
+    return order_mb > 0 ? (uint64_t)order_mb * kBytesPerMb
+                        : memory_limit_bytes(memory_mb) / 100 * kOrderPercent;
+}
--- a/src/runtime/memory_limit.h
+++ b/src/runtime/memory_limit.h
@@ -14,4 +14,9 @@
 /// @return the memory for connections and unfinished requests of callers
 uint64_t memory_limit_request_bytes(uint32_t request_mb, uint32_t memory_mb);
 
+/// @param order_mb   of the settings, 0 if they do not say
+/// @param memory_mb  of the settings, 0 if they do not say
+/// @return the memory for orders that an owner has accepted
+uint64_t memory_limit_order_bytes(uint32_t order_mb, uint32_t memory_mb);
+
 #endif
--- a/tests/standins/runners.c
+++ b/tests/standins/runners.c
@@ -11,11 +11,11 @@
 #include "runtime/log.h"
 
 enum {
-    kMaxRuns = 16,
+    kMaxRuns = 4096,
     kMaxEndedRuns = 65536,
     kNameBytes = 96,
     kCapacityMcores = 32000,
-    kTaskMcores = 14000,
+    kTaskMcores = 14000, ///< unless the task says otherwise
     kMaxLeaseMs = 1000,
     kPublishIntervalMs = 1500,
     kMaxDrainNoticeMs = 2500,      ///< the promise is a few seconds
@@ -28,6 +28,7 @@
 typedef struct {
     char task[kNameBytes];
     uint32_t run;
+    uint32_t mcores;
     int64_t end_ns;
 } run_t;
 
@@ -274,10 +275,30 @@
     return value == NULL ? 0 : json_object_get_uint64(value);
 }
 
+/// @param spec  of a task: its run time in ms, and its size if it is not the
+///              usual one
+static uint32_t
+read_mcores(const char *spec)
+{
+    const char *space = strchr(spec, ' ');
+    return space == NULL ? (uint32_t)kTaskMcores
+                         : (uint32_t)strtoul(space, NULL, 10);
+}
+
+static uint32_t
+sum_used_mcores(const runner_t *runner)
+{
+    uint32_t sum = 0;
+    for (uint32_t i = 0; i < runner->run_count; i++) {
+        sum += runner->runs[i].mcores;
+    }
+    return sum;
+}
+
 /// @return why a start is rejected, or NULL
 static const char *
 check_start(const runner_t *runner, const char *task, uint32_t run,
-            uint64_t lease_ms)
+            uint32_t mcores, uint64_t lease_ms)
 {
     if (lease_ms <= clock_ms(runner)) {
         return "late";
@@ -288,8 +309,10 @@
             return "old";
         }
     }
-    return (runner->run_count + 1) * kTaskMcores > kCapacityMcores ? "room"
-                                                                   : NULL;
+    return runner->run_count == kMaxRuns ||
+                   sum_used_mcores(runner) + mcores > kCapacityMcores
+               ? "room"
+               : NULL;
 }
 
 /// Counts a start in an evacuated data centre if its owner could have read
@@ -353,8 +376,10 @@
             return;
         }
     }
-    const char *reason =
-        check_start(runner, task, number, read_number(body, "deadline_ms"));
+    const char *spec = read_text(body, "task_spec");
+    uint32_t mcores = read_mcores(spec);
+    const char *reason = check_start(runner, task, number, mcores,
+                                     read_number(body, "deadline_ms"));
     if (reason != NULL) {
         counters->out_of_room += strcmp(reason, "room") == 0;
         reply_status(runner, conn, 409, reason);
@@ -367,13 +392,14 @@
     counters->dc_starts[runner->dc]++;
     count_start_while_draining(runner, task);
     count_start_while_evacuated(runner, task);
-    if (strcmp(read_text(body, "task_spec"), "crash") == 0) {
+    if (strcmp(spec, "crash") == 0) {
         runner->crash_due_ns = clock_deadline_ns(kCrashDelayMs);
     }
-    uint64_t work_ms = strtoull(read_text(body, "task_spec"), NULL, 10);
+    uint64_t work_ms = strtoull(spec, NULL, 10);
     run_t *run = &runner->runs[runner->run_count++];
     snprintf(run->task, sizeof run->task, "%s", task);
     run->run = number;
+    run->mcores = mcores;
     run->end_ns = is_mode(runner, "stuck") || runner->crash_due_ns != 0
                       ? INT64_MAX
                       : clock_deadline_ns(work_ms);
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -317,7 +317,7 @@
     if (event->type == kCallStart) {
         pool_handle_start_reply(pool, event->start.run, &reply, sim->now_ns);
     }
-    else if (event->type == kCallStop && event->stop.run != NULL) {
+    else if (event->type == kCallStop) {
         pool_handle_stop_reply(pool, event->stop.run, &reply, sim->now_ns);
     }
     else if (event->type == kCallList) {
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -256,6 +256,28 @@
     's/if (conn->is_accepted \&\& !occupant_charge(/if (false \&\& !occupant_charge(/'
 mutant values-of-json test_json_bounds src/codec/json_bounds.c \
     "s/count += c == '\[' || c == '{' || c == ',';/count += c == ',';/"
+mutant calls-of-all test_calls src/pool/calls.c \
+    's/limit == 0 || pool->pending_calls < limit \* kStartPercent/true || pool->pending_calls < limit * kStartPercent/'
+mutant calls-of-one-target test_calls src/pool/calls.c \
+    's/target->pending_calls < kTargetStartLimit;/target->pending_calls < UINT32_MAX;/'
+mutant calls-for-stops test_calls src/pool/calls.c \
+    's/kStartPercent = 75,/kStartPercent = 100,/'
+mutant stops-are-bounded test_calls src/pool/runs.c \
+    's/if (!calls_allow_stop(pool, run->target)) {/if (false) {/'
+mutant unknown-stops-are-bounded test_calls src/pool/sessions.c \
+    's/if (!calls_allow_stop(pool, target)) {/if (false) {/'
+mutant orders-are-charged test_calls src/pool/orders.c \
+    's/if (memory_budget_charge(&pool->order_memory, bytes, use)) {/if (true) {/'
+mutant orders-are-given-back test_calls src/pool/orders.c \
+    's/^    memory_budget_release(&pool->order_memory, order->charged_bytes);//'
+mutant small-orders-have-room test_calls src/pool/orders.c \
+    's/kSmallOrderBytes = 32768,/kSmallOrderBytes = 0,/'
+mutant ended-runs-leave-sums test_calls src/pool/runs.c \
+    's/^    target->used.cpu_mcores -= run->cpu_mcores;//'
+mutant end-by-of-open-runs test_calls src/pool/runs.c \
+    's/if (run->end_by_ns != INT64_MAX \&\& run->end_by_ns == target->end_by_ns) {/if (false) {/'
+mutant calls-of-a-process functional_test_wide_jobs src/node/owner.c \
+    's/.call_limit = read_call_limit(settings),/.call_limit = 0 * read_call_limit(settings),/'
 mutant evacuated-targets functional_test_evacuation src/node/catalog.c \
     's/info.is_draining |= !target->group->accepts_runs;/info.is_draining |= false;/'
 mutant list-before-runs test_evacuation src/ownership/evacuation.c \
