Give the own programs a setting for the memory that they may use

They now have the setting memory_mb of jt-node, with the same meaning and default.

Mutant memory-of-dispatch is caught.

--- a/src/agent/main.c
+++ b/src/agent/main.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 
 #include "agent/agent.h"
+#include "net/conn.h"
 #include "runtime/app.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 static const app_t app = {
     .name = "jt-agent",
@@ -45,6 +47,7 @@
     agent_settings_t settings;
     error_info_t err = {0};
     app_start(&app, argc, argv, arena, &settings);
+    conn_limit_accepted(memory_limit_bytes(settings.memory_mb));
     agent_t agent = {.settings = &settings, .loop = loop_create()};
     if (!agent_start(&agent, &err)) {
         fprintf(stderr, "%s: %s\n", app.name, err.text);
--- a/src/dispatch/main.c
+++ b/src/dispatch/main.c
@@ -8,8 +8,10 @@
 #include "dispatch/dispatch.h"
 #include "dispatch/drain.h"
 #include "dispatch/shard.h"
+#include "net/conn.h"
 #include "runtime/app.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 static const app_t app = {
     .name = "jt-dispatch",
@@ -193,6 +195,7 @@
     dispatch_settings_t settings;
     error_info_t err = {0};
     app_start(&app, argc, argv, arena, &settings);
+    conn_limit_accepted(memory_limit_bytes(settings.memory_mb));
     dispatch_t dispatch = {0};
     init_dispatch(&dispatch, &settings);
     dispatch.listener =
--- a/src/front/http.c
+++ b/src/front/http.c
@@ -382,8 +382,8 @@
                          "here.address: %s is not an IPv4 address",
                          settings->here.address);
     }
-    const uint64_t memory_bytes =
-        memory_limit_request_bytes(settings->request_memory_mb, 0);
+    const uint64_t memory_bytes = memory_limit_request_bytes(
+        settings->request_memory_mb, settings->memory_mb);
     const intake_size_t size =
         intake_plan(descriptors_share(kDescriptorPercent, kMaxConnections),
                     kConnectionMemoryBytes, memory_bytes);
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -7,8 +7,10 @@
 #include "base/counters.h"
 #include "front/front.h"
 #include "front/http.h"
+#include "net/conn.h"
 #include "runtime/app.h"
 #include "runtime/log.h"
+#include "runtime/memory_limit.h"
 
 static const app_t app = {
     .name = "jt-front",
@@ -187,6 +189,7 @@
     front_settings_t settings;
     error_info_t err = {0};
     app_start(&app, argc, argv, arena, &settings);
+    conn_limit_accepted(memory_limit_bytes(settings.memory_mb));
     front_t front = {0};
     init_front(&front, &settings);
     front.listener =
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -254,6 +254,8 @@
     's/^        refuse(body, connection, rules, kErrorKindTooLarge);//'
 mutant unfinished-frames functional_test_crowd_links src/net/conn.c \
     's/if (conn->is_accepted \&\& !occupant_charge(/if (false \&\& !occupant_charge(/'
+mutant memory-of-dispatch functional_test_crowd_ports src/dispatch/main.c \
+    's/^    conn_limit_accepted(memory_limit_bytes(settings.memory_mb));//'
 mutant values-of-json test_json_bounds src/codec/json_bounds.c \
     "s/count += c == '\[' || c == '{' || c == ',';/count += c == ',';/"
 mutant calls-of-all test_calls src/pool/calls.c \
