Hash the numbers of a run's name without an array

The analyzer of clang-tidy took the array's bytes for uninitialized in one of three runs of make lint on the same file (x86_64), which ended with status 2. The hash is the same; test_name_index passes.

--- a/src/pool/name_index.c
+++ b/src/pool/name_index.c
@@ -10,15 +10,22 @@
     kSlotsPerName = 2 ///< at least
 };
 
+static uint64_t
+hash_number(uint64_t hash, uint32_t number)
+{
+    for (uint32_t shift = 0; shift < 32; shift += 8) {
+        hash = hash_add(hash, (uint8_t)(number >> shift));
+    }
+    return hash;
+}
+
 static uint64_t
 hash_name(const run_name_t *name)
 {
-    const uint32_t numbers[] = {name->step, name->index, name->attempt};
     uint64_t hash = hash_text(name->job);
-    const uint8_t *bytes = (const uint8_t *)numbers;
-    for (uint32_t i = 0; i < sizeof numbers; i++) {
-        hash = hash_add(hash, bytes[i]);
-    }
+    hash = hash_number(hash, name->step);
+    hash = hash_number(hash, name->index);
+    hash = hash_number(hash, name->attempt);
     return hash ^ hash >> 32;
 }
 
