--- a/src/front/http.c
+++ b/src/front/http.c
@@ -318,10 +318,11 @@
                : handle_request(exchange, route, url);
 }
 
-static enum MHD_Result
-on_request(void *owner, struct MHD_Connection *connection, const char *url,
-           const char *method, const char *version, const char *upload_data,
-           size_t *upload_bytes, void **state)
+enum MHD_Result
+http_handle_request(void *owner, struct MHD_Connection *connection,
+                    const char *url, const char *method, const char *version,
+                    const char *upload_data, size_t *upload_bytes,
+                    void **state)
 {
     (void)version;
     front_t *front = owner;
@@ -353,9 +354,9 @@
     return handle_request(exchange, route, url);
 }
 
-static void
-on_completed(void *owner, struct MHD_Connection *connection, void **state,
-             enum MHD_RequestTerminationCode code)
+void
+http_end_request(void *owner, struct MHD_Connection *connection, void **state,
+                 enum MHD_RequestTerminationCode code)
 {
     (void)code;
     front_t *front = owner;
@@ -392,14 +393,14 @@
         intake_create("callers", size.open_limit, &front->budget);
     front->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-        settings->http_port, NULL, NULL, on_request, front,
+        settings->http_port, NULL, NULL, http_handle_request, front,
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
         MHD_OPTION_THREAD_POOL_SIZE,
         settings->http_threads > 1 ? settings->http_threads : 0u,
         MHD_OPTION_CONNECTION_LIMIT, (unsigned int)size.connection_limit,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
+        MHD_OPTION_NOTIFY_COMPLETED, http_end_request, front,
         MHD_OPTION_NOTIFY_CONNECTION, intake_on_connection, callers,
         MHD_OPTION_END);
     if (front->daemon == NULL) {
--- a/src/front/http.h
+++ b/src/front/http.h
@@ -15,4 +15,19 @@
 /// in progress. Blocks for at most stop_limit_ms.
 void http_stop(front_t *front);
 
+/// Handles a request; called by libmicrohttpd.
+///
+/// @param owner  the front_t
+/// @param state  of the request, NULL at first
+enum MHD_Result http_handle_request(void *owner,
+                                    struct MHD_Connection *connection,
+                                    const char *url, const char *method,
+                                    const char *version,
+                                    const char *upload_data,
+                                    size_t *upload_bytes, void **state);
+
+/// Frees the state of a request; called by libmicrohttpd when it has ended.
+void http_end_request(void *owner, struct MHD_Connection *connection,
+                      void **state, enum MHD_RequestTerminationCode code);
+
 #endif
