Repeat a lost list call of an idle target as soon as other ones

Cause: a list call that does not wait counted as lost after 350 ms, the limit for a target whose runs are not known. Since an idle target is listed before a start, one lost call delayed the start by that much.

A target that is ready now has 150 ms, or less while calls are lost, as lists that wait have. A target whose runs are not known keeps 350 ms.

Seen (x86_64): test_restart, "a lost verification", fails without the change and passes with it; the unit tests pass but for test_httpd_stop (known red).

--- a/src/pool/sessions.c
+++ b/src/pool/sessions.c
@@ -266,16 +266,17 @@
     bool waits = target->run_count > 0 && target->session == kSessionReady;
     uint32_t wait_ms = waits ? list_wait_ms(pool, now_ns) : 0;
     uint32_t lease_ms = waits ? choose_lease_ms(pool, target, now_ns) : 0;
-    list_call_t call = {
-        .target = &target->info,
-        .token = target->token,
-        .acked = target->acked,
-        .wait_ms = wait_ms,
-        .requires_new_connection = target->session == kSessionUnresponsive,
-        .deadline_ns = now_ns + (waits ? MS_TO_NS(wait_ms) +
-                                             list_reply_limit_ns(pool, now_ns)
-                                       : MS_TO_NS(kFirstListReplyMs)),
-        .pool_target = target};
+    list_call_t call = {.target = &target->info,
+                        .token = target->token,
+                        .acked = target->acked,
+                        .wait_ms = wait_ms,
+                        .requires_new_connection =
+                            target->session == kSessionUnresponsive,
+                        .deadline_ns = now_ns + MS_TO_NS(wait_ms) +
+                                       (target->session == kSessionReady
+                                            ? list_reply_limit_ns(pool, now_ns)
+                                            : MS_TO_NS(kFirstListReplyMs)),
+                        .pool_target = target};
     if (lease_ms > 0) {
         call.lease_until_ms = lease_grant(target, lease_ms, now_ns);
     }
--- a/tests/unit/test_restart.c
+++ b/tests/unit/test_restart.c
@@ -166,6 +166,24 @@
     sim_clear(&sim);
 }
 
+/// A lost list call of an idle target is repeated as soon as that of a target
+/// with runs.
+static void
+test_lost_verification(void)
+{
+    sim_init(&sim, 1, 1);
+    sim.work_ns = work_ns;
+    sim_assign_targets(&sim, 0, 5);
+    run_for_ms(2000);
+    sim.fault_rates.lost_list_permille = 1000;
+    sim_submit_equal(&sim, 0, "a1", 1, kTaskMs, 0);
+    run_for_ms(5);
+    sim.fault_rates.lost_list_permille = 0;
+    run_for_ms(170);
+    CU_ASSERT_EQUAL(sim.counts.starts, 1);
+    sim_clear(&sim);
+}
+
 int
 main(void)
 {
@@ -176,6 +194,7 @@
         {"an idle target (review case 13)", test_idle_target},
         {"idle targets are verified at once",
          test_idle_targets_are_verified_at_once},
+        {"a lost verification", test_lost_verification},
         CU_TEST_INFO_NULL,
     };
     apr_initialize();
