Bound the tasks that wait for a target to be verified

Cause: tasks that wait for an idle target are no pending calls, so as many as fit were looked at in each pass until its list came; of small tasks that are thousands. Now no more wait for a target than may be started on it.

Seen (x86_64): test_calls, "awaiting tasks are bounded", passes; the mutant awaiting-tasks is caught by it.

--- a/src/pool/calls.c
+++ b/src/pool/calls.c
@@ -22,7 +22,8 @@
 bool
 calls_allow_start(const pool_t *pool, const pool_target_t *target)
 {
-    return calls_have_room(pool) && target->pending_calls < kTargetStartLimit;
+    return calls_have_room(pool) &&
+           target->pending_calls + target->awaited_count < kTargetStartLimit;
 }
 
 bool
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -256,6 +256,7 @@
     target->awaited.cpu_mcores += step->cpu_mcores;
     target->awaited.memory_mb += step->memory_mb;
     target->awaited.accelerators += step->accelerators;
+    target->awaited_count++;
     target->is_reserved |= care == kCareAlone;
 }
 
@@ -335,6 +336,7 @@
     for (pool_target_t *target = pool->first_target; target != NULL;
          target = target->next) {
         target->awaited = (resources_t){0};
+        target->awaited_count = 0;
     }
 }
 
--- a/src/pool/state.h
+++ b/src/pool/state.h
@@ -132,6 +132,7 @@
     /// In the current placement pass, for tasks that wait until the target has
     /// been verified.
     resources_t awaited;
+    uint32_t awaited_count; ///< of these tasks
     pool_run_t *runs;
     // Kept, as there may be thousands of runs.
     resources_t used;  ///< by runs that have not ended
--- a/tests/unit/test_calls.c
+++ b/tests/unit/test_calls.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/counters.h"
 #include "pool/state.h"
 #include "support/suite.h"
 
@@ -266,6 +267,25 @@
     pool_destroy(pool);
 }
 
+/// Nor do more tasks wait for it to be verified than could be started then.
+static void
+test_awaiting_tasks_are_bounded(void)
+{
+    create_pool(1, 0, 0);
+    advance_ms(1000);
+    submit("a1", kTasks, 1);
+    uint64_t before = counter_read(kCounterTargetsVerified);
+    advance_ms(1);
+    CU_ASSERT_EQUAL(start_count, 0);
+    CU_ASSERT_EQUAL(list_count, 1);
+    CU_ASSERT_EQUAL(counter_read(kCounterTargetsVerified) - before,
+                    kTargetStartLimit);
+    answer_lists(NULL, 0);
+    advance_ms(1);
+    CU_ASSERT_EQUAL(start_count, kTargetStartLimit);
+    pool_destroy(pool);
+}
+
 static void
 test_pending_stops_are_bounded(void)
 {
@@ -404,6 +424,7 @@
         {"pending starts are bounded", test_pending_starts_are_bounded},
         {"starts of one target are bounded",
          test_starts_of_one_target_are_bounded},
+        {"awaiting tasks are bounded", test_awaiting_tasks_are_bounded},
         {"pending stops are bounded", test_pending_stops_are_bounded},
         {"stops need not wait for starts",
          test_stops_need_not_wait_for_starts},
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -266,6 +266,8 @@
     's/limit == 0 || pool->pending_calls < limit \* kStartPercent/true || pool->pending_calls < limit * kStartPercent/'
 mutant calls-of-one-target test_calls src/pool/calls.c \
     's/target->pending_calls < kTargetStartLimit;/target->pending_calls < UINT32_MAX;/'
+mutant awaiting-tasks test_calls src/pool/place.c \
+    's/^    target->awaited_count++;//'
 mutant calls-for-stops test_calls src/pool/calls.c \
     's/kStartPercent = 75,/kStartPercent = 100,/'
 mutant stops-are-bounded test_calls src/pool/runs.c \
