--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -12,6 +12,7 @@
 enum {
     kResubmitMs = 1300, ///< from the end of a job until its caller returns
     kLongMs = 8000,
+    kShortMs = 20,
     kAllPermille = 1000,
     kSeedCount = 20
 };
@@ -112,6 +113,33 @@
     sim_clear(&sim);
 }
 
+static int64_t
+work_by_job(sim_t *simulation, const run_name_t *name)
+{
+    (void)simulation;
+    return MS_TO_NS(strcmp(name->job, "a1") == 0 ? kLongMs : kShortMs);
+}
+
+/// The same with starts that go on, as their runs end by themselves.
+static void
+test_short_runs_do_not_keep_run(void)
+{
+    create_sim(1, 1);
+    sim.work_ns = work_by_job;
+    submit("a1", 1);
+    run_for_ms(300);
+    sim.fault_rates.late_stop_permille = kAllPermille;
+    withdraw(0xa1);
+    for (uint32_t i = 0; i < kResubmitMs / 50; i++) {
+        char job[8];
+        snprintf(job, sizeof job, "%x", 0xb00 + i);
+        sim_submit_equal(&sim, 0, job, 1, kShortMs, 0);
+        run_for_ms(50);
+    }
+    CU_ASSERT_EQUAL(count_running("a1"), 0);
+    sim_clear(&sim);
+}
+
 /// A run without an order is no reason to renew a lease.
 static void
 test_run_does_not_keep_itself(void)
@@ -383,6 +411,8 @@
          test_neighbour_does_not_keep_run},
         {"starts do not keep a run without an order",
          test_starts_do_not_keep_run},
+        {"starts of short runs do not keep a run without an order",
+         test_short_runs_do_not_keep_run},
         {"a run without an order does not keep itself",
          test_run_does_not_keep_itself},
         {"the time counts from the last sign of the client",
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -143,7 +143,7 @@
 mutant silence-is-no-crash test_losses src/pool/losses.c \
     's/else if (is_answer \&\& entry->born_ms == born_ms) {/else if (false) {/'
 mutant suspect-alone test_losses src/pool/place.c \
-    's/(care == kCareAlone || run->is_alone)/false/'
+    's/return target->open_count == 0;/return true;/;s/target->alone_count == 0 \&\& !/!/'
 mutant losses-published functional_test_deadly src/node/record.c \
     's/^                                losses_report(losses, lost, now_ns)};/                                0};/'
 mutant losses-adopted functional_test_deadly src/node/record.c \
@@ -191,7 +191,7 @@
 mutant idle-client test_clients src/node/clients.c \
     's/(order_count > 0 ? timeout_ns : MS_TO_NS(kIdleTimeoutMs))/timeout_ns/'
 mutant lease-of-neighbours test_lease src/pool/lease.c \
-    's/end_by_ns = min_ns(end_by_ns, run->end_by_ns);/(void)run;/'
+    's/if (target->end_by_ns == INT64_MAX) {/if (true) {/'
 mutant lease-of-starts test_lease src/pool/sessions.c \
     's/lease_read_limit_ms(pool, target, now_ns) == pool->limits.lease_ms;/(void *)pool != NULL;/'
 mutant lease-from-now test_lease src/pool/orders.c \
@@ -265,7 +265,7 @@
 mutant calls-of-all test_calls src/pool/calls.c \
     's/limit == 0 || pool->pending_calls < limit \* kStartPercent/true || pool->pending_calls < limit * kStartPercent/'
 mutant calls-of-one-target test_calls src/pool/calls.c \
-    's/target->pending_calls < kTargetStartLimit;/target->pending_calls < UINT32_MAX;/'
+    's/target->awaited_count < kTargetStartLimit;/target->awaited_count < UINT32_MAX;/'
 mutant awaiting-tasks test_calls src/pool/place.c \
     's/^    target->awaited_count++;//'
 mutant calls-for-stops test_calls src/pool/calls.c \
