--- a/review/kit-3/lib.sh
+++ b/review/kit-3/lib.sh
@@ -26,8 +26,8 @@
     for pid in "${pids[@]}"; do
         kill -KILL "$pid" 2>/dev/null
     done
+    rm -rf "$folder" # ends the loops of clients, too
     wait 2>/dev/null
-    rm -rf "$folder"
 }
 trap stop_all EXIT
 
@@ -90,6 +90,7 @@
 start_store() {
     "$kit/review-store" --address "$store" >"$folder/store.log" 2>&1 &
     pids+=($!)
+    disown
     for _ in $(seq 100); do
         is_open "$store" 7301 && return
         sleep 0.05
